--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,764 @@
+// valekeel's decisions: all of them, with every table and tuned value. The interface is src/logic.hpp; the
+// adapter (src/wirehost) makes one Logic for each front and calls one method for each thing that happens, in
+// order, with the time. The module answers by calling the Host that it was handed, at once or from woken().
+//
+// The ordinary path is ES-HAS (docs/design.md): subscribe() gathers requests for a slot, place() gives each
+// the holder and rung of least score, and sweep() steps playing subscriptions down and up. Each join passes
+// mayJoin(), which holds every rule; each final answer passes giveUp().
+#include "logic.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+
+#include "model/histogram.hpp"
+
+namespace valekeel {
+namespace {
+
+// ---- the ordinary path ----
+constexpr Micros kSlot = 20'000;    // theta; the paper finds under 52 ms harmless, and a join takes longer
+constexpr Micros kRound = 250'000;  // between looks at what plays
+constexpr double kAlphaTime = 0.1;  // a1, a2, a3: the design page's starting values
+constexpr double kAlphaGap = 0.02;
+constexpr double kAlphaRate = 0.8;
+constexpr double kFill = 0.9;       // a pair that would fill more of the room than this is skipped
+constexpr double kDropOver = 0.95;  // a link asked for more than this is relieved ...
+constexpr double kDropTo = 0.88;    // ... down to this: true rates wander by some tens of percent
+constexpr double kSpare = 0.8;      // a rise must leave 20% spare
+constexpr Micros kDropPause = 4 * kSecond;
+constexpr Micros kQuiet = 6 * kSecond;
+constexpr double kEarnBack = 3;  // a rise must earn the switch this many times over
+
+// ---- what is believed of links ----
+constexpr double kUseHalfLife = 8;      // seconds after which a told figure counts half
+constexpr double kUseUntold = 0.6;      // what a link of which nothing is known is taken to be asked
+constexpr Micros kAnswerAge = 400'000;  // load figures in answers are about this old
+constexpr double kNoisyShare = 0.4;     // part that a noisy figure in an answer moves the belief
+constexpr double kUplinkBack = 0.02;    // an uplink found narrow is trusted so much more a second when quiet
+constexpr double kLikelyLeft = 15;      // seconds that a subscription without a hint is taken to go on
+
+// ---- health: a sequential test, H1 "half of its joins fail" against H0 "two in a hundred do" ----
+const double kFailStep = std::log(0.5 / 0.02);
+const double kGoodStep = std::log(0.5 / 0.98);
+constexpr double kVerdict = 4.0;  // evidence at which a media server is set aside
+constexpr double kMostEvidence = 6.5;
+constexpr double kDoubtWeight = 0.15;  // how a doubt short of a verdict weighs in the score
+constexpr Micros kFirstPause = 1 * kSecond, kLongestPause = 8 * kSecond;
+
+// ---- time-outs ----
+constexpr Micros kSetupEdges[] = {60'000,  100'000, 150'000, 200'000,   300'000,
+                                  400'000, 600'000, 900'000, 1'500'000, 3'000'000};
+constexpr double kEnoughSetups = 8;
+constexpr Micros kLeastPatience = 250'000;
+constexpr double kColdPart = 0.6;  // of the pace that the rules allow a cold media server
+
+}  // namespace
+
+class Logic::Desk {
+  public:
+    Desk(Host& host, Micros now, std::uint64_t seed, int fronts, const Ladder& ladder,
+         const std::vector<RoomType>& rooms, const Fleet& fleet, const ColdTerms& cold,
+         const JoinBudget* budget, const Tidings& tidings, const Allowed& allowed)
+        : host_(host),
+          bornAt_(now),
+          chance_(static_cast<std::knuth_b::result_type>(seed)),
+          fronts_(std::max(1, fronts)),
+          ladder_(ladder),
+          rooms_(rooms),
+          fleet_(fleet),
+          cold_(cold),
+          tidings_(tidings),
+          allowed_(allowed),
+          setups_(kSetupEdges) {
+        if (budget) budget_ = *budget;
+        for (const RoomType& r : rooms_) topBenefit_ = std::max(topBenefit_, r.benefit);
+        uplinks_.resize(static_cast<std::size_t>(fleet_.racks));
+        for (Uplink& u : uplinks_) u.kb = fleet_.uplinkKb;
+        host_.wakeAfter(kRound, "sweep");
+    }
+
+    // ================= what happens =================
+
+    void listed(Micros now, std::span<const ListedSfu> entries, bool stale) {
+        for (auto& [id, s] : sfus_) s.standing = Standing::Off;
+        listStale_ = stale;
+        listChanged(now, entries);
+    }
+
+    void listChanged(Micros, std::span<const ListedSfu> entries) {
+        for (const ListedSfu& e : entries) {
+            Sfu& s = sfus_[e.id];
+            if (e.launched > s.startedAt) {  // a new process: what was held against the old one is void
+                s.startedAt = e.launched;
+                s.evidence = 0;
+                s.link = Pipe{};
+            }
+            s.standing = e.standing;
+            s.cell = e.cell;
+            s.kind = e.kind;
+            s.size = e.size;
+        }
+        double places = 0;
+        for (const auto& [id, s] : sfus_)
+            if (s.standing != Standing::Off) places += placesOf(s);
+        if (places > 0 && kbPerPlace_ == 0) kbPerPlace_ = fleet_.linksKb / places;
+    }
+
+    void subscribe(Micros now, SubId id, const Wish& wish) {
+        Sub& sub = subs_[id] = Sub{};
+        sub.wish = wish;
+        sub.takenAt = now;
+        sub.rung = roomOf(sub).floor;
+        taken_.push_back(now);
+        waiting_.push_back(id);
+        if (!slotOpen_) {
+            slotOpen_ = true;
+            host_.wakeAfter(kSlot, "slot");
+        }
+    }
+
+    void handedOver(Micros now, SubId id, const Wish& wish, SfuId at) {
+        Sub& sub = subs_[id] = Sub{};
+        sub.wish = wish;
+        sub.takenAt = sub.playsSince = now;
+        sub.state = State::Playing;
+        sub.joins = 1;
+        sub.rung = roomOf(sub).floor;
+        sub.at = at;
+        handedOver_ = true;
+        hold(now, sub, +1);
+    }
+
+    void playing(Micros now, SubId id, int, SfuId at, Micros took) {
+        auto it = subs_.find(id);
+        if (it == subs_.end()) return;
+        Sub& sub = it->second;
+        if (sub.state == State::Joining) --sfus_[at].joinsOut;
+        sub.state = State::Playing;
+        sub.playsSince = now;
+        learnSetup(took);
+        judge(now, sfus_[at], kGoodStep);
+    }
+
+    void joinEnded(Micros now, SubId id, SfuId at, JoinEnd end, bool over, const Load& load) {
+        Sfu& s = sfus_[at];
+        if (load.linkUse) hearLink(now, s, *load.linkUse, kAnswerAge, kNoisyShare);
+        if (load.uplinkUse) hearUplink(now, rackOf(s), *load.uplinkUse, kAnswerAge, kNoisyShare);
+        auto it = subs_.find(id);
+        const bool played = it != subs_.end() && it->second.state == State::Playing;
+        const bool suspected = it != subs_.end() && it->second.overdue;
+        switch (end) {
+            case JoinEnd::Error:
+                judge(now, s, kFailStep);
+                break;
+            case JoinEnd::Reset:
+                s.mayHaveRestartedAt = now;
+                judge(now, s, kFailStep);
+                break;
+            case JoinEnd::NoConnection:
+                s.mayHaveRestartedAt = now;
+                judge(now, s, kFailStep);
+                break;
+            case JoinEnd::TimedOut:
+                s.mayHaveRestartedAt = now;
+                if (!suspected) judge(now, s, kFailStep);
+                break;
+            case JoinEnd::Full:
+                s.fullUntil = now + kSecond;
+                break;
+            default:
+                break;
+        }
+        if (it == subs_.end()) return;
+        Sub& sub = it->second;
+        hold(now, sub, -1);
+        if (over || played || sub.gone) {
+            subs_.erase(it);
+            return;
+        }
+        if (end != JoinEnd::Full && end != JoinEnd::NoConnection && end != JoinEnd::NeverSent)
+            sub.mayHaveRun = true;
+        sub.state = State::Waiting;
+        sub.overdue = false;
+        // A paid set-up that may have run can't be tried again, and no other try can still be in time.
+        if ((roomOf(sub).paid && sub.mayHaveRun) || end == JoinEnd::NeverSent ||
+            now >= sub.takenAt + roomOf(sub).joinObjective) {
+            giveUp(now, id);
+            return;
+        }
+        waiting_.push_back(id);
+        placeAll(now);
+    }
+
+    void viewerLeft(Micros, SubId id) {
+        auto it = subs_.find(id);
+        if (it == subs_.end()) return;
+        if (it->second.state == State::Joining)
+            it->second.gone = true;  // its Result is still to come, and holds its seat until then
+        else if (it->second.state == State::Waiting)
+            subs_.erase(it);
+    }
+
+    void shareDelivered(Micros now, SfuId at, double share) {
+        Sfu& s = sfus_[at];
+        Uplink& up = uplinks_[rackOf(s)];
+        if (share >= 0.98) {
+            if (s.link.told) s.link.use = std::min(s.link.use, 0.97);
+            if (up.pipe.told) up.pipe.use = std::min(up.pipe.use, 0.97);
+            return;
+        }
+        s.shortAt = now;
+        // Which of the two is the narrow one: the link, or the uplink that it shares? The one asked for more.
+        const double asked = 1 / std::max(0.05, share);
+        if (linkAsked(now, s) >= uplinkAsked(now, rackOf(s))) {
+            hearLink(now, s, std::max(asked, 1.0), tidings_.late, 1);
+            return;
+        }
+        up.shortAt = now;
+        if (up.pipe.told)
+            hearUplink(now, rackOf(s), asked, tidings_.late, 1);
+        else
+            up.kb = std::clamp(rackAskedKb(now, rackOf(s)) / asked, 0.1 * fleet_.uplinkKb, up.kb);
+    }
+
+    void rungInForce(Micros now, SubId id, int rung) {
+        auto it = subs_.find(id);
+        if (it != subs_.end()) setRung(now, it->second, rung);
+    }
+
+    void linkUse(Micros now, SubId id, SfuId at, double use) {
+        hearLink(now, sfus_[at], use, noteAge(now, id), 0.8);
+    }
+    void uplinkUse(Micros now, SubId id, SfuId at, double use) {
+        hearUplink(now, rackOf(sfus_[at]), use, noteAge(now, id), 0.8);
+    }
+
+    void woken(Micros now, const std::string& why) {
+        if (why == "sweep") {
+            sweep(now);
+            host_.wakeAfter(kRound, "sweep");
+        } else if (why == "slot") {
+            slotOpen_ = false;
+            placeAll(now);
+        }
+    }
+
+  private:
+    enum class State { Waiting, Joining, Playing };
+
+    struct Sub {
+        Wish wish;
+        State state = State::Waiting;
+        Micros takenAt = 0, joinedAt = 0, playsSince = 0, changedAt = 0;
+        int joins = 0;
+        int rung = 0;
+        SfuId at;
+        bool mayHaveRun = false;  // some earlier join is not proven never to have run
+        bool overdue = false;     // its silence has been held against the media server
+        bool gone = false;
+    };
+
+    struct Pipe {  // a link or an uplink, as told
+        bool told = false;
+        double use = 0;  // asked over given, at `at`
+        Micros at = 0;
+        std::deque<std::pair<Micros, double>> changes;  // of this front's own rates, kB a second
+    };
+
+    struct Uplink {
+        Pipe pipe;
+        double kb = 0;
+        Micros shortAt = -1'000 * kSecond;
+    };
+
+    struct Sfu {
+        Standing standing = Standing::Off;
+        Cell cell;
+        KindId kind;
+        double size = 1;
+        Micros startedAt = 0, mayHaveRestartedAt = 0;
+        Pipe link;
+        double ownKb = 0;
+        double evidence = 0;  // of the sequential test
+        Micros pause = 0, askAgainAt = 0;
+        Micros fullUntil = 0, shortAt = -1'000 * kSecond;
+        Micros lastJoinAt = -1'000 * kSecond;
+        int joinsOut = 0;
+    };
+
+    const RoomType& roomOf(const Sub& sub) const { return rooms_[sub.wish.room.v]; }
+    double kbOf(const Sub& sub, int rung) const {
+        return ladder_.kb[static_cast<std::size_t>(rung)] * roomOf(sub).rateFactor;
+    }
+    double earns(const Sub& sub, int rung) const {
+        return ladder_.worth[static_cast<std::size_t>(rung)] * roomOf(sub).benefit;
+    }
+    int topOf(const Sub& sub) const {
+        return std::max(floorOf(sub), std::min(roomOf(sub).top, sub.wish.maxRung));
+    }
+    int floorOf(const Sub& sub) const { return roomOf(sub).floor; }
+    double placesOf(const Sfu& s) const {
+        return s.kind.v < fleet_.places.size() ? std::max(1, fleet_.places[s.kind.v]) : 1;
+    }
+    std::size_t rackOf(const Sfu& s) const { return s.cell.v % uplinks_.size(); }
+
+    // ================= room =================
+
+    // What a media server's link gives, as told; less while it is young, as its link is cold too.
+    double linkKb(Micros now, const Sfu& s) const {
+        const double told = fleet_.sizesTold ? fleet_.linkKbPerSize * s.size : kbPerPlace_ * placesOf(s);
+        return std::max(1.0, told * warmShare(now, s));
+    }
+
+    double warmShare(Micros now, const Sfu& s) const {
+        const Micros since = std::max(s.startedAt, s.mayHaveRestartedAt);
+        if (since <= 0 || now - since >= cold_.warmUp) return 1;
+        return cold_.firstShare + (1 - cold_.firstShare) * seconds(now - since) / seconds(cold_.warmUp);
+    }
+
+    // A told figure, carried forward by what this front has changed since, and as if every front did alike.
+    double carried(const Pipe& p, double kb) const {
+        double moved = 0;
+        for (const auto& [at, change] : p.changes)
+            if (at > p.at) moved += change;
+        return std::max(0.0, p.use + moved * fronts_ / kb);
+    }
+
+    // What is asked of a link over what it gives. A figure counts for less with its age; in its place comes
+    // what is known of the fleet, and never less than this front's own rates.
+    double linkAsked(Micros now, const Sfu& s) const {
+        const double kb = linkKb(now, s);
+        const double untold = std::max(fleetUse_, s.ownKb * fronts_ / kb);
+        double asked = untold;
+        if (s.link.told) {
+            const double trust = std::exp2(-seconds(now - s.link.at) / kUseHalfLife);
+            asked = trust * carried(s.link, kb) + (1 - trust) * untold;
+        }
+        return std::max(asked, s.ownKb / kb);
+    }
+
+    double rackAskedKb(Micros now, std::size_t rack) const {
+        double kb = 0;
+        for (const auto& [id, s] : sfus_)
+            if (s.standing != Standing::Off && rackOf(s) == rack) kb += linkAsked(now, s) * linkKb(now, s);
+        return kb;
+    }
+
+    double uplinkAsked(Micros now, std::size_t rack) const {
+        const Uplink& up = uplinks_[rack];
+        if (up.kb <= 0) return 0;
+        const double summed = rackAskedKb(now, rack) / up.kb;
+        if (!up.pipe.told) return summed;
+        const double trust = std::exp2(-seconds(now - up.pipe.at) / kUseHalfLife);
+        return trust * carried(up.pipe, up.kb) + (1 - trust) * summed;
+    }
+
+    double asked(Micros now, const Sfu& s) const {
+        return std::max(linkAsked(now, s), uplinkAsked(now, rackOf(s)));
+    }
+
+    void hear(Micros now, Pipe& p, double kb, double use, Micros age, double part) {
+        const Micros at = now - age;
+        if (at < p.at) return;
+        p.use = p.told ? part * use + (1 - part) * carried(p, kb) : use;
+        p.told = true;
+        p.at = at;
+        while (!p.changes.empty() && p.changes.front().first <= at) p.changes.pop_front();
+    }
+    void hearLink(Micros now, Sfu& s, double use, Micros age, double part) {
+        hear(now, s.link, linkKb(now, s), use, age, part);
+    }
+    void hearUplink(Micros now, std::size_t rack, double use, Micros age, double part) {
+        if (uplinks_[rack].kb > 0) hear(now, uplinks_[rack].pipe, uplinks_[rack].kb, use, age, part);
+    }
+
+    // A note at set-up speaks of now, the others of a while ago.
+    Micros noteAge(Micros now, SubId id) const {
+        auto it = subs_.find(id);
+        const bool fresh =
+            it != subs_.end() && it->second.joinedAt > 0 && now - it->second.playsSince < tidings_.late / 2;
+        return fresh ? 0 : tidings_.late;
+    }
+
+    // Books a subscription's rate and seat on its media server, or frees them.
+    void hold(Micros now, Sub& sub, int sign) {
+        Sfu& s = sfus_[sub.at];
+        shift(now, s, sign * kbOf(sub, sub.rung));
+        seats_[{sub.wish.room, sub.wish.title}] += sign;
+        if (sub.state == State::Joining || (sign > 0 && sub.state == State::Waiting)) s.joinsOut += sign;
+    }
+
+    void shift(Micros now, Sfu& s, double kb) {
+        s.ownKb = std::max(0.0, s.ownKb + kb);
+        s.link.changes.emplace_back(now, kb);
+        uplinks_[rackOf(s)].pipe.changes.emplace_back(now, kb);
+    }
+
+    void setRung(Micros now, Sub& sub, int rung) {
+        const int kept = std::clamp(rung, 0, static_cast<int>(ladder_.kb.size()) - 1);
+        shift(now, sfus_[sub.at], kbOf(sub, kept) - kbOf(sub, sub.rung));
+        sub.rung = kept;
+    }
+
+    // ================= the rules: the one place that every join passes =================
+
+    bool mayJoin(Micros now, const Sub& sub, SfuId id, const Sfu& s) {
+        const RoomType& room = roomOf(sub);
+        if (sub.state != State::Waiting || sub.gone) return false;  // one join out, no answer given
+        if (now >= sub.wish.giveUpAt || sub.joins >= allowed_.joinsEach) return false;
+        if (s.standing != Standing::On) return false;  // drains are kept
+        const auto cells = static_cast<std::uint32_t>(fleet_.cells);
+        if ((s.cell.v + cells - sub.wish.firstCell.v % cells) % cells >=
+            static_cast<std::uint32_t>(std::max(0, sub.wish.holders)))
+            return false;                               // it does not hold the title
+        if (room.paid && sub.mayHaveRun) return false;  // no set-up twice
+        if (room.keyed && sub.mayHaveRun &&
+            ((!room.anyGroup && id != sub.at) || now - sub.joinedAt >= room.repeatWithin))
+            return false;
+        if (seatsLeft(sub) <= 0) return false;
+        if (sub.joins > 0 && !budgetLeft(now)) return false;
+        return coldTurn(now, s);
+    }
+
+    int seatsLeft(const Sub& sub) const {
+        const int seats = roomOf(sub).seats;
+        if (seats <= 0) return 1;
+        auto it = seats_.find({sub.wish.room, sub.wish.title});
+        return seats - (it == seats_.end() ? 0 : it->second);
+    }
+
+    bool budgetLeft(Micros now) {
+        if (!budget_) return true;
+        while (!taken_.empty() && taken_.front() <= now - budget_->window) taken_.pop_front();
+        while (!further_.empty() && further_.front() < now - budget_->window) further_.pop_front();
+        return static_cast<double>(further_.size() + 1) <=
+               budget_->free + budget_->share * static_cast<double>(taken_.size());
+    }
+
+    // A media server that may be cold takes joins at a part of the pace it bears at its start. The fronts
+    // take turns by the clock, so that together they keep that pace without a word; each joins once in its
+    // turn.
+    bool coldTurn(Micros now, const Sfu& s) const {
+        const bool young = warmShare(now, s) < 1;
+        // A front that has just come up knows an old list: any media server may have restarted meanwhile.
+        const bool blind = listStale_ && !handedOver_ && now - bornAt_ < cold_.warmUp;
+        if (!young && !blind) return true;
+        const double pace =
+            kColdPart * cold_.fallMultiple * cold_.firstShare * placesOf(s) / seconds(cold_.warmUp);
+        const auto turn = static_cast<Micros>(1e6 / std::max(pace, 1e-3));
+        return now - s.lastJoinAt >= turn * fronts_;
+    }
+
+    // ================= placing =================
+
+    bool setAside(Micros now, const Sfu& s) const {
+        return s.evidence >= kVerdict && (now < s.askAgainAt || s.joinsOut > 0);
+    }
+
+    void placeAll(Micros now) {
+        std::vector<SubId> queue;
+        queue.swap(waiting_);
+        std::stable_sort(queue.begin(), queue.end(), [&](SubId a, SubId b) {
+            auto worth = [&](SubId id) {
+                auto it = subs_.find(id);
+                return it == subs_.end() ? 0.0 : roomOf(it->second).benefit;
+            };
+            return worth(a) > worth(b);
+        });
+        for (SubId id : queue) place(now, id);
+        if (!waiting_.empty() && !slotOpen_) {
+            slotOpen_ = true;
+            host_.wakeAfter(kSlot, "slot");
+        }
+    }
+
+    void place(Micros now, SubId id) {
+        auto found = subs_.find(id);
+        if (found == subs_.end() || found->second.state != State::Waiting) return;
+        Sub& sub = found->second;
+        double best = 1e18, roomiest = 1e18;
+        std::optional<SfuId> chosen, fallback;
+        int chosenRung = floorOf(sub);
+        const double middle = ladder_.kb[ladder_.kb.size() / 2];
+        for (auto& [sfuId, s] : sfus_) {
+            if (!mayJoin(now, sub, sfuId, s) || setAside(now, s) || now < s.fullUntil) continue;
+            if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
+            const double use = asked(now, s);
+            const double doubt = kDoubtWeight * std::max(0.0, s.evidence);
+            if (use + doubt < roomiest) {
+                roomiest = use + doubt;
+                fallback = sfuId;
+            }
+            const double room = (1 - use) * linkKb(now, s);
+            for (int rung = floorOf(sub); rung <= topOf(sub); ++rung) {
+                const double kb = kbOf(sub, rung);
+                if (kb > kFill * room) continue;
+                const double fetch = kb / middle / (1 - use);
+                const double gap = (rung - floorOf(sub)) / static_cast<double>(ladder_.kb.size());
+                const double score = kAlphaTime * fetch + kAlphaGap * gap -
+                                     kAlphaRate * earns(sub, rung) / topBenefit_ + doubt;
+                if (score < best) {
+                    best = score;
+                    chosen = sfuId;
+                    chosenRung = rung;
+                }
+            }
+        }
+        if (!chosen) chosen = fallback;
+        if (chosen) {
+            sendJoin(now, id, sub, *chosen, chosenRung);
+            return;
+        }
+        if (seatsLeft(sub) > 0 && now - sub.takenAt < roomOf(sub).joinObjective / 2 &&
+            holderMayComeFree(now, sub))
+            waiting_.push_back(id);
+        else
+            giveUp(now, id);
+    }
+
+    bool holderMayComeFree(Micros now, const Sub& sub) {
+        for (auto& [id, s] : sfus_) {
+            if (s.standing != Standing::On || coldTurn(now, s)) continue;
+            Sfu warm = s;
+            warm.lastJoinAt = -1'000 * kSecond;
+            if (mayJoin(now, sub, id, warm)) return true;
+        }
+        return false;
+    }
+
+    void sendJoin(Micros now, SubId id, Sub& sub, SfuId at, int rung) {
+        Sfu& s = sfus_[at];
+        if (!mayJoin(now, sub, at, s)) return;
+        if (sub.joins > 0) further_.push_back(now);
+        sub.at = at;
+        sub.rung = rung;
+        sub.joinedAt = now;
+        hold(now, sub, +1);
+        ++sub.joins;
+        sub.state = State::Joining;
+        s.lastJoinAt = now;
+        host_.setRung(id, rung);
+        host_.join(id, at, timeOut(now, sub));
+    }
+
+    // A paid set-up is waited for to the end, as it can't be repeated; a free one while another is in time.
+    Micros timeOut(Micros now, const Sub& sub) {
+        const Micros left = sub.wish.giveUpAt - now;
+        const Micros objective = sub.takenAt + roomOf(sub).joinObjective;
+        if (roomOf(sub).paid || sub.joins >= allowed_.joinsEach || now + 2 * patience() > objective ||
+            !budgetLeft(now))
+            return left;
+        return std::min(left, patience());
+    }
+
+    Micros patience() const {
+        if (setups_.total() < kEnoughSetups) return 2 * kLeastPatience;
+        return std::max(kLeastPatience, 2 * setups_.quantile(0.95));
+    }
+
+    void learnSetup(Micros took) {
+        setups_.add(took);
+        if (setups_.total() > 64) setups_.halve();
+    }
+
+    // The one place that ends a request without its playing. It is answered at once.
+    void giveUp(Micros now, SubId id) {
+        auto it = subs_.find(id);
+        if (it == subs_.end() || it->second.state != State::Waiting) return;
+        const Sub& sub = it->second;
+        const RoomType& room = roomOf(sub);
+        const bool mayThrottle =
+            now < sub.wish.giveUpAt && (!sub.mayHaveRun || !(room.paid || (room.keyed && !room.anyGroup)));
+        if (mayThrottle)
+            host_.throttle(id, comeBack());
+        else
+            host_.terminate(id);
+        subs_.erase(it);
+    }
+
+    Micros comeBack() {  // spread, so that those sent away together don't return together
+        if (!allowed_.comeBack) return 0;
+        return std::uniform_int_distribution<Micros>(allowed_.comeBackAtMost / 2,
+                                                     allowed_.comeBackAtMost)(chance_);
+    }
+
+    // ================= health =================
+
+    void judge(Micros now, Sfu& s, double step) {
+        const bool wasOut = s.evidence >= kVerdict;
+        s.evidence = std::clamp(s.evidence + step, -2.0, kMostEvidence);
+        if (s.evidence < kVerdict) {
+            s.pause = 0;
+            return;
+        }
+        if (step > 0) {
+            s.pause = wasOut ? std::min(2 * s.pause, kLongestPause) : kFirstPause;
+            s.askAgainAt = now + s.pause;
+        }
+    }
+
+    // ================= what plays =================
+
+    void sweep(Micros now) {
+        double sum = 0, count = 0;
+        for (auto& [id, s] : sfus_) {
+            while (!s.link.changes.empty() && s.link.changes.front().first < now - 20 * kSecond)
+                s.link.changes.pop_front();
+            if (s.standing != Standing::On || !s.link.told || now - s.link.at > 6 * kSecond) continue;
+            sum += carried(s.link, linkKb(now, s));
+            ++count;
+        }
+        fleetUse_ = count > 0 ? sum / count : kUseUntold;
+        for (std::size_t rack = 0; rack < uplinks_.size(); ++rack) {
+            Uplink& up = uplinks_[rack];
+            while (!up.pipe.changes.empty() && up.pipe.changes.front().first < now - 20 * kSecond)
+                up.pipe.changes.pop_front();
+            if (!up.pipe.told && now - up.shortAt > 3 * kSecond && uplinkAsked(now, rack) > 0.9)
+                up.kb *= 1 + kUplinkBack * seconds(kRound);
+        }
+        std::map<SfuId, std::vector<SubId>> mine;
+        for (auto& [id, sub] : subs_) {
+            if (sub.state == State::Playing) mine[sub.at].push_back(id);
+            if (sub.state == State::Joining && !sub.overdue && now - sub.joinedAt > patience()) {
+                sub.overdue = true;  // silence counts like a failure, long before a time-out says so
+                judge(now, sfus_[sub.at], kFailStep);
+            }
+        }
+        for (auto& [at, ids] : mine) {
+            const double use = asked(now, sfus_[at]);
+            if (use > kDropOver)
+                stepDown(now, sfus_[at], ids, use);
+            else
+                stepUp(now, sfus_[at], ids);
+        }
+    }
+
+    // Own subscriptions give up this front's part of what is too much, the cheapest benefit per kB first.
+    void stepDown(Micros now, Sfu& s, const std::vector<SubId>& ids, double use) {
+        double toFree = s.ownKb * (1 - kDropTo / use);
+        std::vector<SubId> changed;
+        while (toFree > 0) {
+            std::optional<SubId> pick;
+            double least = 1e18;
+            for (SubId id : ids) {
+                const Sub& sub = subs_.at(id);
+                if (sub.rung <= floorOf(sub) || now - sub.changedAt < kDropPause) continue;
+                const double cost = (earns(sub, sub.rung) - earns(sub, sub.rung - 1)) /
+                                    (kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1));
+                if (cost < least) {
+                    least = cost;
+                    pick = id;
+                }
+            }
+            if (!pick) return;
+            Sub& sub = subs_.at(*pick);
+            toFree -= kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1);
+            retune(now, *pick, sub, sub.rung - 1);
+        }
+    }
+
+    void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids) {
+        if (now - s.shortAt < kQuiet || s.evidence >= kVerdict || s.standing == Standing::Off) return;
+        const double kb = linkKb(now, s);
+        std::optional<SubId> pick;
+        double most = 0;
+        for (SubId id : ids) {
+            const Sub& sub = subs_.at(id);
+            if (sub.rung >= topOf(sub) || now - std::max(sub.changedAt, sub.playsSince) < kQuiet) continue;
+            const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
+            const Uplink& up = uplinks_[rackOf(s)];
+            if (linkAsked(now, s) + more * fronts_ / kb > kSpare) continue;
+            if (up.kb > 0 && uplinkAsked(now, rackOf(s)) + more * fronts_ / up.kb > kSpare) continue;
+            const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
+            if (gain * secondsLeft(now, sub) < kEarnBack * ladder_.switchSeconds * roomOf(sub).benefit)
+                continue;
+            if (gain / more > most) {
+                most = gain / more;
+                pick = id;
+            }
+        }
+        if (pick) retune(now, *pick, subs_.at(*pick), subs_.at(*pick).rung + 1);
+    }
+
+    double secondsLeft(Micros now, const Sub& sub) const {
+        if (!sub.wish.watchSeconds) return kLikelyLeft;
+        return std::max(0.0, *sub.wish.watchSeconds - seconds(now - sub.takenAt));
+    }
+
+    void retune(Micros now, SubId id, Sub& sub, int rung) {
+        setRung(now, sub, rung);
+        sub.changedAt = now;
+        host_.setRung(id, rung);
+    }
+
+    Host& host_;
+    Micros bornAt_;
+    std::knuth_b chance_;
+    int fronts_;
+    Ladder ladder_;
+    std::vector<RoomType> rooms_;
+    Fleet fleet_;
+    ColdTerms cold_;
+    std::optional<JoinBudget> budget_;
+    Tidings tidings_;
+    Allowed allowed_;
+
+    std::map<SfuId, Sfu> sfus_;
+    std::map<SubId, Sub> subs_;
+    std::vector<Uplink> uplinks_;
+    std::vector<SubId> waiting_;
+    std::map<std::pair<RoomTypeId, TitleId>, int> seats_;
+    std::deque<Micros> taken_, further_;
+    Histogram setups_;
+    double topBenefit_ = 0, kbPerPlace_ = 0, fleetUse_ = kUseUntold;
+    bool slotOpen_ = false, listStale_ = false, handedOver_ = false;
+};
+
+Logic::Logic(Host& host, Micros now, std::uint64_t seed, int fronts, const Ladder& ladder,
+             const std::vector<RoomType>& rooms, const Fleet& fleet, const ColdTerms& cold,
+             const JoinBudget* budget, const Tidings& tidings, const Allowed& allowed)
+    : desk_(std::make_unique<Desk>(host, now, seed, fronts, ladder, rooms, fleet, cold, budget, tidings,
+                                   allowed)) {}
+Logic::~Logic() = default;
+
+void Logic::listed(Micros now, std::span<const ListedSfu> entries, bool stale) {
+    desk_->listed(now, entries, stale);
+}
+void Logic::listChanged(Micros now, std::span<const ListedSfu> entries) {
+    desk_->listChanged(now, entries);
+}
+void Logic::subscribe(Micros now, SubId id, const Wish& wish) {
+    desk_->subscribe(now, id, wish);
+}
+void Logic::handedOver(Micros now, SubId id, const Wish& wish, SfuId at) {
+    desk_->handedOver(now, id, wish, at);
+}
+void Logic::playing(Micros now, SubId id, int joinNo, SfuId at, Micros took) {
+    desk_->playing(now, id, joinNo, at, took);
+}
+void Logic::joinEnded(Micros now, SubId id, int, SfuId at, JoinEnd end, bool over, Micros, const Load& load) {
+    desk_->joinEnded(now, id, at, end, over, load);
+}
+void Logic::viewerLeft(Micros now, SubId id) {
+    desk_->viewerLeft(now, id);
+}
+void Logic::shareDelivered(Micros now, SubId, SfuId at, double share) {
+    desk_->shareDelivered(now, at, share);
+}
+void Logic::rungInForce(Micros now, SubId id, int rung) {
+    desk_->rungInForce(now, id, rung);
+}
+void Logic::linkUse(Micros now, SubId id, SfuId at, double use) {
+    desk_->linkUse(now, id, at, use);
+}
+void Logic::uplinkUse(Micros now, SubId id, SfuId at, double use) {
+    desk_->uplinkUse(now, id, at, use);
+}
+void Logic::woken(Micros now, const std::string& why) {
+    desk_->woken(now, why);
+}
+
+}  // namespace valekeel
--- /dev/null
+++ b/src/logic.hpp
@@ -0,0 +1,62 @@
+// The interface of the decision module: what a front tells it, and the Host through which it acts. It knows
+// no wire; src/wirehost drives it on the bench, a session front will drive it in service.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "model/ids.hpp"
+#include "model/records.hpp"
+
+namespace valekeel {
+
+// What the module may do. It is handed one at start and calls it as it decides.
+class Host {
+  public:
+    virtual ~Host() = default;
+    virtual void join(SubId, SfuId, Micros timeOut) = 0;  // joins of a subscription are numbered from 0
+    virtual void dropJoin(SubId, int joinNo) = 0;
+    virtual void setRung(SubId, int rung) = 0;
+    virtual void move(SubId) = 0;                       // off its media server; the viewer comes back soon
+    virtual void throttle(SubId, Micros comeBack) = 0;  // final; 0 names no time
+    virtual void terminate(SubId) = 0;                  // final
+    virtual void wakeAfter(Micros, const std::string& why) = 0;
+    virtual void log(const std::string&) = 0;
+};
+
+// One front's decisions. Each method is one thing that can happen; `now` never goes back.
+class Logic {
+  public:
+    Logic(Host&, Micros now, std::uint64_t seed, int fronts, const Ladder&, const std::vector<RoomType>&,
+          const Fleet&, const ColdTerms&, const JoinBudget* budget, const Tidings&, const Allowed&);
+    ~Logic();
+    Logic(const Logic&) = delete;
+    Logic& operator=(const Logic&) = delete;
+
+    // The list of media servers: the whole of it (`stale` if it is only what this front last saw), or
+    // changes.
+    void listed(Micros now, std::span<const ListedSfu>, bool stale);
+    void listChanged(Micros now, std::span<const ListedSfu>);
+
+    void subscribe(Micros now, SubId, const Wish&);          // a viewer asks
+    void handedOver(Micros now, SubId, const Wish&, SfuId);  // it plays already
+    void playing(Micros now, SubId, int joinNo, SfuId, Micros took);
+    void joinEnded(Micros now, SubId, int joinNo, SfuId, JoinEnd, bool over, Micros took, const Load&);
+    void viewerLeft(Micros now, SubId);
+
+    void shareDelivered(Micros now, SubId, SfuId, double share);
+    void rungInForce(Micros now, SubId, int rung);
+    void linkUse(Micros now, SubId, SfuId, double askedOverGiven);
+    void uplinkUse(Micros now, SubId, SfuId, double askedOverGiven);
+
+    void woken(Micros now, const std::string& why);
+
+  private:
+    class Desk;
+    std::unique_ptr<Desk> desk_;
+};
+
+}  // namespace valekeel
--- /dev/null
+++ b/src/model/records.hpp
@@ -0,0 +1,100 @@
+// Plain records that the module is handed: what a site runs, what it plays, and on which terms. Nothing in
+// here decides, and no figure of a site stands here.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "model/ids.hpp"
+
+namespace valekeel {
+
+struct Ladder {
+    std::vector<double> kb;     // rate of each rung, kB a second
+    std::vector<double> worth;  // part of the benefit that each rung earns
+    double stallLoss = 0;       // points of benefit lost for each point of the rate that is missing
+    double switchSeconds = 0;   // a change of rung costs so many seconds of benefit
+};
+
+struct RoomType {
+    std::string name;
+    Micros joinObjective = 0;
+    double benefit = 0;
+    bool paid = false;     // what it sets up must not be set up twice
+    bool keyed = false;    // may be repeated, but only within `repeatWithin` and to the same group
+    bool anyGroup = true;  // keyed: every media server is of the group
+    Micros repeatWithin = 0;
+    double rateFactor = 1;
+    int floor = 0;
+    int top = 0;
+    int seats = 0;  // 0: no cap
+};
+
+struct Fleet {
+    int cells = 1;
+    int racks = 1;
+    double linksKb = 0;        // all links together
+    double linkKbPerSize = 0;  // link of a media server for each unit of its size
+    double uplinkKb = 0;       // mean uplink of a rack
+    bool sizesTold = false;    // entries of the list carry a size
+    std::vector<int> places;   // for each kind: streams at most
+};
+
+struct ColdTerms {  // of a media server that has just started
+    Micros warmUp = 0;
+    double firstShare = 1;
+    double fallMultiple = 1;
+    Micros tipAfter = 0;
+};
+
+struct JoinBudget {  // of joins beyond each subscription's first
+    double free = 0;
+    double share = 0;
+    Micros window = 0;
+};
+
+struct Tidings {  // how notes on playing subscriptions travel
+    Micros late = 0;
+    Micros every = 0;  // 0: no notes on link use
+};
+
+struct Allowed {
+    int joinsEach = 1;
+    bool cancel = false;
+    bool probes = false;
+    bool peers = false;
+    bool comeBack = false;  // a viewer may be told when to come again
+    Micros comeBackAtMost = 0;
+};
+
+enum class Standing { On, Fading, Off };
+
+struct ListedSfu {  // one line of the list of media servers
+    SfuId id;
+    Standing standing = Standing::On;
+    Micros launched = 0;  // 0: long ago
+    Cell cell;
+    KindId kind;
+    double size = 1;
+};
+
+struct Wish {  // what a viewer asks for
+    RoomTypeId room;
+    TitleId title;
+    Micros giveUpAt = 0;
+    std::optional<double> watchSeconds;  // a guess, where there is one
+    Cell firstCell;
+    int holders = 1;
+    int maxRung = 0;
+    bool returning = false;
+    bool moved = false;
+};
+
+enum class JoinEnd { Played, Error, Full, TimedOut, NoConnection, Reset, Cancelled, NeverSent };
+
+struct Load {  // what a media server tells of itself in an answer
+    std::optional<double> streams, linkUse, uplinkUse;
+};
+
+}  // namespace valekeel
--- /dev/null
+++ b/src/wirehost/wire.hpp
@@ -0,0 +1,34 @@
+// The adapter for the simulator's wire: turns a batch of events into calls on the modules that it hosts, one
+// for each front, and what they do into a reply. Fronts share nothing here but the lists that the wire itself
+// numbers for the process.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "model/records.hpp"
+
+namespace valekeel::wire {
+
+// What is wrong with a line, and where.
+struct BadLine : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+class Front;
+
+class Wire {
+  public:
+    Wire();
+    ~Wire();
+    std::string reply(const std::string& batch);  // one line in, one line out, without the line end
+
+  private:
+    std::map<std::string, std::unique_ptr<Front>> fronts_;
+    std::map<std::int64_t, std::string> lists_;  // by number, undecoded: kinds are named by each front
+};
+
+}  // namespace valekeel::wire
--- /dev/null
+++ b/tests/rig.hpp
@@ -0,0 +1,110 @@
+// A front on strings: the module with a host that writes down what it does, and a clock that fires its wakes.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "logic.hpp"
+
+namespace valekeel {
+
+struct Site {
+    int sfus = 4;
+    int fronts = 2;
+    bool paid = false;
+    bool keyed = false;
+    int floor = 0;
+    int seats = 0;
+    bool comeBack = true;
+    std::optional<JoinBudget> budget{};
+    Micros every = 2 * kSecond;
+    Micros launched = 0;
+    bool stale = false;
+};
+
+struct Sent {
+    SubId id;
+    SfuId at;
+    Micros when, timeOut;
+    int no;
+};
+
+class Rig : public Host {
+  public:
+    explicit Rig(const Site& s) : site(s) {
+        const RoomType room{"room", 800'000, 1, s.paid, s.keyed, true, 5 * kSecond, 1, s.floor, 2, s.seats};
+        const RoomType other{"other", 800'000, 2, false, false, true, 0, 1.4, 0, 2, 0};
+        logic = std::make_unique<Logic>(
+            *this, now, 11, s.fronts, Ladder{{100, 300, 900}, {.3, .7, 1}, 8, .5}, std::vector{room, other},
+            Fleet{s.sfus, 2, 10'000.0 * s.sfus, 10'000, 10'000.0 * s.sfus / 2, true, {24}},
+            ColdTerms{12 * kSecond, .4, 2.5, 3 * kSecond}, s.budget ? &*s.budget : nullptr,
+            Tidings{kSecond, s.every}, Allowed{3, true, false, false, s.comeBack, kSecond / 2});
+        std::vector<ListedSfu> list;
+        for (int i = 0; i < s.sfus; ++i) list.push_back(entry(i, Standing::On, s.launched));
+        logic->listed(now, list, s.stale);
+    }
+    static ListedSfu entry(int i, Standing standing, Micros launched = 0) {
+        return {SfuId{100u + static_cast<unsigned>(i)}, standing,  launched,
+                Cell{static_cast<unsigned>(i)},         KindId{0}, 1};
+    }
+    void subscribe(unsigned id, Micros giveUpIn = 3 * kSecond, unsigned room = 0,
+                   const std::string& title = "t") {
+        Wish w;
+        w.room = RoomTypeId{room};
+        w.title = TitleId{title};
+        w.giveUpAt = now + giveUpIn;
+        w.holders = site.sfus;
+        w.maxRung = 2;
+        logic->subscribe(now, SubId{id}, w);
+    }
+    void run(Micros span) {  // fires the wakes that fall due
+        const Micros until = now + span;
+        while (!wakes.empty() && wakes.begin()->first <= until) {
+            auto [at, why] = *wakes.begin();
+            wakes.erase(wakes.begin());
+            now = std::max(now, at);
+            logic->woken(now, why);
+        }
+        now = until;
+    }
+    const Sent& last(unsigned id) const {
+        for (auto it = joins.rbegin(); it != joins.rend(); ++it)
+            if (it->id == SubId{id}) return *it;
+        throw std::out_of_range("never joined");
+    }
+    void end(unsigned id, JoinEnd how, bool over = false) {
+        const Sent sent = last(id);
+        logic->joinEnded(now, sent.id, sent.no, sent.at, how, over, now - sent.when, Load{});
+    }
+    void play(unsigned id) {
+        const Sent sent = last(id);
+        logic->playing(now, sent.id, sent.no, sent.at, now - sent.when);
+    }
+
+    void join(SubId id, SfuId at, Micros timeOut) override {
+        joins.push_back({id, at, now, timeOut, static_cast<int>(count[id]++)});
+    }
+    void dropJoin(SubId, int) override {}
+    void setRung(SubId id, int rung) override { rungs[id] = rung; }
+    void move(SubId id) override { moved.insert(id); }
+    void throttle(SubId id, Micros comeBack) override { throttled[id] = comeBack; }
+    void terminate(SubId id) override { terminated.insert(id); }
+    void wakeAfter(Micros after, const std::string& why) override { wakes.emplace(now + after, why); }
+    void log(const std::string&) override {}
+
+    Site site;
+    Micros now = 100 * kSecond;
+    std::unique_ptr<Logic> logic;
+    std::vector<Sent> joins;
+    std::map<SubId, unsigned> count;
+    std::map<SubId, int> rungs;
+    std::map<SubId, Micros> throttled;
+    std::set<SubId> terminated, moved;
+    std::multimap<Micros, std::string> wakes;
+};
+
+}  // namespace valekeel
