--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -74,7 +74,7 @@
           allowed_(allowed),
           setups_(kSetupEdges) {
         if (budget) budget_ = *budget;
-        for (const RoomType& r : rooms_) topBenefit_ = std::max(topBenefit_, r.benefit);
+        for (const RoomType& r : rooms_) meanBenefit_ += r.benefit / static_cast<double>(rooms_.size());
         uplinks_.resize(static_cast<std::size_t>(fleet_.racks));
         for (Uplink& u : uplinks_) u.kb = fleet_.uplinkKb;
         host_.wakeAfter(kRound, "sweep");
@@ -130,6 +130,7 @@
         sub.at = at;
         handedOver_ = true;
         hold(now, sub, +1);
+        forgetChanges(sfus_[at]);
     }
 
     void playing(Micros now, SubId id, int, SfuId at, Micros took) {
@@ -226,7 +227,9 @@
 
     void rungInForce(Micros now, SubId id, int rung) {
         auto it = subs_.find(id);
-        if (it != subs_.end()) setRung(now, it->second, rung);
+        if (it == subs_.end()) return;
+        setRung(now, it->second, rung);
+        forgetChanges(sfus_[it->second.at]);
     }
 
     void linkUse(Micros now, SubId id, SfuId at, double use) {
@@ -324,7 +327,10 @@
         double moved = 0;
         for (const auto& [at, change] : p.changes)
             if (at > p.at) moved += change;
-        return std::max(0.0, p.use + moved * fronts_ / kb);
+        // Relief is shared: a front that steps down after a crowded figure knows that the others do so too.
+        // What was added is its own, and in part the others'.
+        const double factor = moved > 0 ? (1 + fronts_) / 2.0 : p.use > kDropOver ? fronts_ : 1;
+        return std::max(0.0, p.use + moved * factor / kb);
     }
 
     // What is asked of a link over what it gives. A figure counts for less with its age; in its place comes
@@ -397,6 +403,12 @@
         uplinks_[rackOf(s)].pipe.changes.emplace_back(now, kb);
     }
 
+    // What was handed over has long been part of what is told of a link: it is no change.
+    void forgetChanges(Sfu& s) {
+        s.link.changes.clear();
+        uplinks_[rackOf(s)].pipe.changes.clear();
+    }
+
     void setRung(Micros now, Sub& sub, int rung) {
         const int kept = std::clamp(rung, 0, static_cast<int>(ladder_.kb.size()) - 1);
         shift(now, sfus_[sub.at], kbOf(sub, kept) - kbOf(sub, sub.rung));
@@ -499,7 +511,7 @@
                 const double fetch = kb / middle / (1 - use);
                 const double gap = (rung - floorOf(sub)) / static_cast<double>(ladder_.kb.size());
                 const double score = kAlphaTime * fetch + kAlphaGap * gap -
-                                     kAlphaRate * earns(sub, rung) / topBenefit_ + doubt;
+                                     kAlphaRate * earns(sub, rung) / meanBenefit_ + doubt;
                 if (score < best) {
                     best = score;
                     chosen = sfuId;
@@ -670,8 +682,8 @@
             if (sub.rung >= topOf(sub) || now - std::max(sub.changedAt, sub.playsSince) < kQuiet) continue;
             const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
             const Uplink& up = uplinks_[rackOf(s)];
-            if (linkAsked(now, s) + more * fronts_ / kb > kSpare) continue;
-            if (up.kb > 0 && uplinkAsked(now, rackOf(s)) + more * fronts_ / up.kb > kSpare) continue;
+            if (linkAsked(now, s) + more / kb > kSpare) continue;
+            if (up.kb > 0 && uplinkAsked(now, rackOf(s)) + more / up.kb > kSpare) continue;
             const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
             if (gain * secondsLeft(now, sub) < kEarnBack * ladder_.switchSeconds * roomOf(sub).benefit)
                 continue;
@@ -680,7 +692,9 @@
                 pick = id;
             }
         }
-        if (pick) retune(now, *pick, subs_.at(*pick), subs_.at(*pick).rung + 1);
+        // All fronts hear the same figures at the same time: each takes the room with its part of the chance.
+        if (pick && std::uniform_int_distribution<int>(1, fronts_)(chance_) == 1)
+            retune(now, *pick, subs_.at(*pick), subs_.at(*pick).rung + 1);
     }
 
     double secondsLeft(Micros now, const Sub& sub) const {
@@ -713,7 +727,7 @@
     std::map<std::pair<RoomTypeId, TitleId>, int> seats_;
     std::deque<Micros> taken_, further_;
     Histogram setups_;
-    double topBenefit_ = 0, kbPerPlace_ = 0, fleetUse_ = kUseUntold;
+    double meanBenefit_ = 0, kbPerPlace_ = 0, fleetUse_ = kUseUntold;
     bool slotOpen_ = false, listStale_ = false, handedOver_ = false;
 };
 
