--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -36,6 +36,7 @@
 constexpr double kUseHalfLife = 8;      // seconds after which a told figure counts half
 constexpr double kUseUntold = 0.6;      // what a link of which nothing is known is taken to be asked
 constexpr Micros kAnswerAge = 400'000;  // load figures in answers are about this old
+constexpr double kLinkClear = 0.92;     // a link asked for under so much of a shortness is not its cause
 constexpr double kNoisyShare = 0.4;     // part that a noisy figure in an answer moves the belief
 constexpr double kUplinkBack = 0.02;    // an uplink found narrow is trusted so much more a second when quiet
 constexpr double kLikelyLeft = 15;      // seconds that a subscription without a hint is taken to go on
@@ -141,6 +142,7 @@
         sub.state = State::Playing;
         sub.playsSince = now;
         learnSetup(took);
+        sfus_[at].fullPause = 0;
         judge(now, sfus_[at], kGoodStep);
     }
 
@@ -205,24 +207,18 @@
 
     void shareDelivered(Micros now, SfuId at, double share) {
         Sfu& s = sfus_[at];
-        Uplink& up = uplinks_[rackOf(s)];
         if (share >= 0.98) {
+            Uplink& up = uplinks_[rackOf(s)];
+            s.shortBy = 0;
             if (s.link.told) s.link.use = std::min(s.link.use, 0.97);
             if (up.pipe.told) up.pipe.use = std::min(up.pipe.use, 0.97);
             return;
         }
+        // A short note marks the link full. Whether it was the link or the uplink shows when the next figure
+        // of the link comes, which is as old as the note.
         s.shortAt = now;
-        // Which of the two is the narrow one: the link, or the uplink that it shares? The one asked for more.
-        const double asked = 1 / std::max(0.05, share);
-        if (linkAsked(now, s) >= uplinkAsked(now, rackOf(s))) {
-            hearLink(now, s, std::max(asked, 1.0), tidings_.late, 1);
-            return;
-        }
-        up.shortAt = now;
-        if (up.pipe.told)
-            hearUplink(now, rackOf(s), asked, tidings_.late, 1);
-        else
-            up.kb = std::clamp(rackAskedKb(now, rackOf(s)) / asked, 0.1 * fleet_.uplinkKb, up.kb);
+        s.shortBy = 1 / std::max(0.05, share);
+        hearLink(now, s, std::max(s.shortBy, linkAsked(now, s)), tidings_.late, 1);
     }
 
     void rungInForce(Micros now, SubId id, int rung) {
@@ -233,7 +229,11 @@
     }
 
     void linkUse(Micros now, SubId id, SfuId at, double use) {
-        hearLink(now, sfus_[at], use, noteAge(now, id), 0.8);
+        Sfu& s = sfus_[at];
+        const Micros age = noteAge(now, id);
+        if (age > 0 && s.shortBy > 0 && now - s.shortAt < 2 * kSecond && use < kLinkClear * s.shortBy)
+            uplinkShort(now, s);
+        hearLink(now, s, use, age, 0.8);
     }
     void uplinkUse(Micros now, SubId id, SfuId at, double use) {
         hearUplink(now, rackOf(sfus_[at]), use, noteAge(now, id), 0.8);
@@ -287,7 +287,8 @@
         double ownKb = 0;
         double evidence = 0;  // of the sequential test
         Micros pause = 0, askAgainAt = 0;
-        Micros fullUntil = 0, shortAt = -1'000 * kSecond;
+        double shortBy = 0;  // asked over given, by the last short note
+        Micros risenAt = 0, fullPause = 0, fullUntil = 0, shortAt = -1'000 * kSecond;
         Micros lastJoinAt = -1'000 * kSecond;
         int joinsOut = 0;
     };
@@ -323,14 +324,14 @@
     }
 
     // A told figure, carried forward by what this front has changed since, and as if every front did alike.
-    double carried(const Pipe& p, double kb) const {
+    double carried(const Pipe& p, double kb, double ownKb) const {
         double moved = 0;
         for (const auto& [at, change] : p.changes)
             if (at > p.at) moved += change;
-        // Relief is shared: a front that steps down after a crowded figure knows that the others do so too.
-        // What was added is its own, and in part the others'.
-        const double factor = moved > 0 ? (1 + fronts_) / 2.0 : p.use > kDropOver ? fronts_ : 1;
-        return std::max(0.0, p.use + moved * factor / kb);
+        // Relief is shared: a front that steps down after a crowded figure knows that the others hear the
+        // same and do so too, in proportion. What was added is its own, and in part the others'.
+        if (moved < 0 && p.use > kDropOver) return p.use * std::max(0.0, ownKb / (ownKb - moved));
+        return std::max(0.0, p.use + moved * (moved > 0 ? (1 + fronts_) / 2.0 : 1) / kb);
     }
 
     // What is asked of a link over what it gives. A figure counts for less with its age; in its place comes
@@ -341,7 +342,7 @@
         double asked = untold;
         if (s.link.told) {
             const double trust = std::exp2(-seconds(now - s.link.at) / kUseHalfLife);
-            asked = trust * carried(s.link, kb) + (1 - trust) * untold;
+            asked = trust * carried(s.link, kb, s.ownKb) + (1 - trust) * untold;
         }
         return std::max(asked, s.ownKb / kb);
     }
@@ -353,32 +354,51 @@
         return kb;
     }
 
+    double rackOwnKb(std::size_t rack) const {
+        double kb = 0;
+        for (const auto& [id, s] : sfus_)
+            if (rackOf(s) == rack) kb += s.ownKb;
+        return kb;
+    }
+
     double uplinkAsked(Micros now, std::size_t rack) const {
         const Uplink& up = uplinks_[rack];
         if (up.kb <= 0) return 0;
         const double summed = rackAskedKb(now, rack) / up.kb;
         if (!up.pipe.told) return summed;
         const double trust = std::exp2(-seconds(now - up.pipe.at) / kUseHalfLife);
-        return trust * carried(up.pipe, up.kb) + (1 - trust) * summed;
+        return trust * carried(up.pipe, up.kb, rackOwnKb(rack)) + (1 - trust) * summed;
     }
 
     double asked(Micros now, const Sfu& s) const {
         return std::max(linkAsked(now, s), uplinkAsked(now, rackOf(s)));
     }
 
-    void hear(Micros now, Pipe& p, double kb, double use, Micros age, double part) {
+    void hear(Micros now, Pipe& p, double kb, double ownKb, double use, Micros age, double part) {
         const Micros at = now - age;
         if (at < p.at) return;
-        p.use = p.told ? part * use + (1 - part) * carried(p, kb) : use;
+        p.use = p.told ? part * use + (1 - part) * carried(p, kb, ownKb) : use;
         p.told = true;
         p.at = at;
         while (!p.changes.empty() && p.changes.front().first <= at) p.changes.pop_front();
     }
     void hearLink(Micros now, Sfu& s, double use, Micros age, double part) {
-        hear(now, s.link, linkKb(now, s), use, age, part);
+        hear(now, s.link, linkKb(now, s), s.ownKb, use, age, part);
     }
     void hearUplink(Micros now, std::size_t rack, double use, Micros age, double part) {
-        if (uplinks_[rack].kb > 0) hear(now, uplinks_[rack].pipe, uplinks_[rack].kb, use, age, part);
+        if (uplinks_[rack].kb > 0)
+            hear(now, uplinks_[rack].pipe, uplinks_[rack].kb, rackOwnKb(rack), use, age, part);
+    }
+
+    // Delivery is short by more than the link explains: the uplink is the narrow one.
+    void uplinkShort(Micros now, const Sfu& s) {
+        const std::size_t rack = rackOf(s);
+        Uplink& up = uplinks_[rack];
+        up.shortAt = now;
+        if (up.pipe.told)
+            hearUplink(now, rack, s.shortBy, tidings_.late, 1);
+        else if (up.kb > 0)
+            up.kb = std::clamp(rackAskedKb(now, rack) / s.shortBy, 0.1 * fleet_.uplinkKb, up.kb);
     }
 
     // A note at set-up speaks of now, the others of a while ago.
@@ -620,7 +640,7 @@
             while (!s.link.changes.empty() && s.link.changes.front().first < now - 20 * kSecond)
                 s.link.changes.pop_front();
             if (s.standing != Standing::On || !s.link.told || now - s.link.at > 6 * kSecond) continue;
-            sum += carried(s.link, linkKb(now, s));
+            sum += carried(s.link, linkKb(now, s), s.ownKb);
             ++count;
         }
         fleetUse_ = count > 0 ? sum / count : kUseUntold;
@@ -672,29 +692,41 @@
         }
     }
 
+    // Room that a told figure leaves is taken up in steps, the most benefit per kB first. All fronts hear the
+    // same figures at the same time: each takes its part, or where that holds no step, one step at its part
+    // of the chance. Then it waits for the next figure.
     void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids) {
         if (now - s.shortAt < kQuiet || s.evidence >= kVerdict || s.standing == Standing::Off) return;
-        const double kb = linkKb(now, s);
-        std::optional<SubId> pick;
-        double most = 0;
-        for (SubId id : ids) {
-            const Sub& sub = subs_.at(id);
-            if (sub.rung >= topOf(sub) || now - std::max(sub.changedAt, sub.playsSince) < kQuiet) continue;
-            const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
-            const Uplink& up = uplinks_[rackOf(s)];
-            if (linkAsked(now, s) + more / kb > kSpare) continue;
-            if (up.kb > 0 && uplinkAsked(now, rackOf(s)) + more / up.kb > kSpare) continue;
-            const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
-            if (gain * secondsLeft(now, sub) < kEarnBack * ladder_.switchSeconds * roomOf(sub).benefit)
-                continue;
-            if (gain / more > most) {
-                most = gain / more;
-                pick = id;
+        if (!s.link.told || s.link.at <= s.risenAt) return;
+        const Uplink& up = uplinks_[rackOf(s)];
+        double room = (kSpare - linkAsked(now, s)) * linkKb(now, s);
+        if (up.kb > 0) room = std::min(room, (kSpare - uplinkAsked(now, rackOf(s))) * up.kb);
+        double part = room / fronts_;
+        bool single = std::uniform_int_distribution<int>(1, fronts_)(chance_) == 1;
+        for (;;) {
+            std::optional<SubId> pick;
+            double most = 0;
+            for (SubId id : ids) {
+                const Sub& sub = subs_.at(id);
+                if (sub.rung >= topOf(sub) || (sub.changedAt > 0 && now - sub.changedAt < kQuiet)) continue;
+                const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
+                if (more > (single ? room : part)) continue;
+                const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
+                if (gain * secondsLeft(now, sub) < kEarnBack * ladder_.switchSeconds * roomOf(sub).benefit)
+                    continue;
+                if (gain / more > most) {
+                    most = gain / more;
+                    pick = id;
+                }
             }
+            if (!pick) return;
+            Sub& sub = subs_.at(*pick);
+            const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
+            single = false;
+            part -= more;
+            s.risenAt = now;
+            retune(now, *pick, sub, sub.rung + 1);
         }
-        // All fronts hear the same figures at the same time: each takes the room with its part of the chance.
-        if (pick && std::uniform_int_distribution<int>(1, fronts_)(chance_) == 1)
-            retune(now, *pick, subs_.at(*pick), subs_.at(*pick).rung + 1);
     }
 
     double secondsLeft(Micros now, const Sub& sub) const {
