--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -25,6 +25,7 @@
 constexpr double kAlphaGap = 0.02;
 constexpr double kAlphaRate = 0.8;
 constexpr double kFill = 0.9;       // a pair that would fill more of the room than this is skipped
+constexpr double kOverfull = 1.0;   // a lowest rung that fills a link beyond this is refused
 constexpr double kDropOver = 0.95;  // a link asked for more than this is relieved ...
 constexpr double kDropTo = 0.88;    // ... down to this: true rates wander by some tens of percent
 constexpr double kSpare = 0.8;      // a rise must leave 20% spare
@@ -539,7 +540,14 @@
                 }
             }
         }
-        if (!chosen) chosen = fallback;
+        // None fits: the lowest rung on the roomiest, unless even that would overfill and nothing there can
+        // step down.
+        if (!chosen && fallback) {
+            const Sfu& s = sfus_[*fallback];
+            const double kb = kbOf(sub, floorOf(sub));
+            if (asked(now, s) + kb / linkKb(now, s) <= kOverfull || canFree(s, *fallback) >= kb)
+                chosen = fallback;
+        }
         if (chosen) {
             sendJoin(now, id, sub, *chosen, chosenRung);
             return;
@@ -551,6 +559,15 @@
             giveUp(now, id);
     }
 
+    double canFree(const Sfu& s, SfuId at) const {
+        if (s.ownKb <= 0) return 0;
+        double kb = 0;
+        for (const auto& [id, sub] : subs_)
+            if (sub.state == State::Playing && sub.at == at)
+                kb += kbOf(sub, sub.rung) - kbOf(sub, floorOf(sub));
+        return kb;
+    }
+
     bool holderMayComeFree(Micros now, const Sub& sub) {
         for (auto& [id, s] : sfus_) {
             if (s.standing != Standing::On || coldTurn(now, s)) continue;
