--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -375,6 +375,22 @@
         return std::max(linkAsked(now, s), uplinkAsked(now, rackOf(s)));
     }
 
+    // What is known to be asked, for drops: a change of rung is paid for, so no guess about others causes
+    // one.
+    double knownAsked(Micros now, const Sfu& s) const {
+        auto known = [&](const Sfu& one) {
+            const double kb = linkKb(now, one);
+            return std::max(one.link.told ? carried(one.link, kb, one.ownKb) : 0, one.ownKb / kb);
+        };
+        const std::size_t rack = rackOf(s);
+        const Uplink& up = uplinks_[rack];
+        if (up.kb <= 0) return known(s);
+        double rackKb = 0;
+        for (const auto& [id, one] : sfus_)
+            if (one.standing != Standing::Off && rackOf(one) == rack) rackKb += known(one) * linkKb(now, one);
+        return std::max(known(s), up.pipe.told ? carried(up.pipe, up.kb, rackOwnKb(rack)) : rackKb / up.kb);
+    }
+
     void hear(Micros now, Pipe& p, double kb, double ownKb, double use, Micros age, double part) {
         const Micros at = now - age;
         if (at < p.at) return;
@@ -677,7 +693,7 @@
             }
         }
         for (auto& [at, ids] : mine) {
-            const double use = asked(now, sfus_[at]);
+            const double use = knownAsked(now, sfus_[at]);
             if (use > kDropOver)
                 stepDown(now, sfus_[at], ids, use);
             else
