--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,7 +31,7 @@
 constexpr double kSpare = 0.8;      // a rise must leave 20% spare
 constexpr Micros kDropPause = 4 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
-constexpr double kEarnBack = 3;  // a rise must earn the switch this many times over
+constexpr double kEarnBack = 2;  // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
 constexpr double kUseHalfLife = 8;      // seconds after which a told figure counts half
@@ -40,7 +40,7 @@
 constexpr double kLinkClear = 0.92;     // a link asked for under so much of a shortness is not its cause
 constexpr double kNoisyShare = 0.4;     // part that a noisy figure in an answer moves the belief
 constexpr double kUplinkBack = 0.02;    // an uplink found narrow is trusted so much more a second when quiet
-constexpr double kLikelyLeft = 15;      // seconds that a subscription without a hint is taken to go on
+constexpr double kLikelyLeft = 25;      // seconds that a subscription without a hint is taken to go on
 
 // ---- health: a sequential test, H1 "half of its joins fail" against H0 "two in a hundred do" ----
 const double kFailStep = std::log(0.5 / 0.02);
