--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,12 +26,12 @@
 constexpr double kAlphaRate = 0.8;
 constexpr double kFill = 0.9;       // a pair that would fill more of the room than this is skipped
 constexpr double kOverfull = 1.0;   // a lowest rung that fills a link beyond this is refused
-constexpr double kDropOver = 0.98;  // a link asked for more than this is relieved ...
-constexpr double kDropTo = 0.92;    // ... down to this: true rates wander by some tens of percent
-constexpr double kSpare = 0.85;     // a rise must leave 20% spare
+constexpr double kDropOver = 0.95;  // a link asked for more than this is relieved ...
+constexpr double kDropTo = 0.88;    // ... down to this: true rates wander by some tens of percent
+constexpr double kSpare = 0.8;      // a rise must leave 20% spare
 constexpr Micros kDropPause = 4 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
-constexpr double kEarnBack = 2;  // a rise must earn the switch this many times over
+constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
 constexpr double kUseHalfLife = 8;      // seconds after which a told figure counts half
