--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,8 +24,10 @@
 constexpr double kAlphaTime = 0.1;  // a1, a2, a3: the design page's starting values
 constexpr double kAlphaGap = 0.02;
 constexpr double kAlphaRate = 0.8;
-constexpr double kFill = 0.9;       // a pair that would fill more of the room than this is skipped
-constexpr double kOverfull = 1.0;   // a lowest rung that fills a link beyond this is refused
+constexpr double kFill = 0.9;        // a pair that would fill more of the room than this is skipped
+constexpr double kLeastFree = 0.02;  // part of a link that is never taken to be gone, to divide by
+constexpr double kLinkTie = 0.3;   // how the link weighs beside the narrower of link and uplink, if none fits
+constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is refused
 constexpr double kDropOver = 0.95;  // a link asked for more than this is relieved ...
 constexpr double kDropTo = 0.88;    // ... down to this: true rates wander by some tens of percent
 constexpr double kSpare = 0.8;      // a rise must leave 20% spare
@@ -535,17 +537,23 @@
         for (auto& [sfuId, s] : sfus_) {
             if (!mayJoin(now, sub, sfuId, s) || setAside(now, s) || now < s.fullUntil) continue;
             if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
-            const double use = asked(now, s);
+            const double link = linkAsked(now, s), uplink = uplinkAsked(now, rackOf(s));
             const double doubt = kDoubtWeight * std::max(0.0, s.evidence);
-            if (use + doubt < roomiest) {
-                roomiest = use + doubt;
+            // Link and uplink lie one behind the other: their fetch times add up. The larger alone would
+            // leave the media servers of a crowded rack alike, however empty some of their links are.
+            const double slowness =
+                (1 / std::max(kLeastFree, 1 - link) + 1 / std::max(kLeastFree, 1 - uplink)) / 2;
+            const double crowd = std::max(link, uplink) + kLinkTie * link + doubt;
+            if (crowd < roomiest) {
+                roomiest = crowd;
                 fallback = sfuId;
             }
-            const double room = (1 - use) * linkKb(now, s);
+            const double room = (1 - link) * linkKb(now, s);
+            const double rackRoom = (1 - uplink) * uplinks_[rackOf(s)].kb;
             for (int rung = floorOf(sub); rung <= topOf(sub); ++rung) {
                 const double kb = kbOf(sub, rung);
-                if (kb > kFill * room) continue;
-                const double fetch = kb / middle / (1 - use);
+                if (kb > kFill * room || (uplinks_[rackOf(s)].kb > 0 && kb > kFill * rackRoom)) continue;
+                const double fetch = kb / middle * slowness;
                 const double gap = (rung - floorOf(sub)) / static_cast<double>(ladder_.kb.size());
                 const double score = kAlphaTime * fetch + kAlphaGap * gap -
                                      kAlphaRate * earns(sub, rung) / meanBenefit_ + doubt;
