--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -40,12 +40,11 @@
 constexpr double kUseUntold = 0.6;  // what a link of which nothing is known is taken to be asked
 constexpr double kUntoldMost =
     0.6;  // and at most so: one join there tells, while a guess of full never would
-constexpr Micros kSmoothed = 1 * kSecond;  // a share delivered is smoothed, and so older than its delay
-constexpr Micros kAnswerAge = 400'000;     // load figures in answers are about this old
-constexpr double kLinkClear = 0.92;        // a link asked for under so much of a shortness is not its cause
-constexpr double kNoisyShare = 0.4;        // part that a noisy figure in an answer moves the belief
-constexpr double kUplinkBack = 0.02;  // an uplink found narrow is trusted so much more a second when quiet
-constexpr double kLikelyLeft = 25;    // seconds that a subscription without a hint is taken to go on
+constexpr Micros kAnswerAge = 400'000;  // load figures in answers are about this old
+constexpr double kLinkClear = 0.92;     // a link asked for under so much of a shortness is not its cause
+constexpr double kNoisyShare = 0.4;     // part that a noisy figure in an answer moves the belief
+constexpr double kUplinkBack = 0.02;    // an uplink found narrow is trusted so much more a second when quiet
+constexpr double kLikelyLeft = 25;      // seconds that a subscription without a hint is taken to go on
 
 // ---- health: a sequential test, H1 "half of its joins fail" against H0 "two in a hundred do" ----
 const double kFailStep = std::log(0.5 / 0.02);
@@ -224,7 +223,7 @@
         // of the link comes, which is as old as the note.
         s.shortAt = now;
         s.shortBy = 1 / std::max(0.05, share);
-        hearLink(now, s, std::max(s.shortBy, linkAsked(now, s)), tidings_.late + kSmoothed, 1);
+        hearLink(now, s, std::max(s.shortBy, linkAsked(now, s)), tidings_.late, 1);
     }
 
     void rungInForce(Micros now, SubId id, int rung) {
