--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,7 +21,7 @@
 // ---- the ordinary path ----
 constexpr Micros kSlot = 20'000;     // theta; the paper finds under 52 ms harmless, and a join takes longer
 constexpr Micros kRound = 250'000;   // between looks at what plays
-constexpr double kAlphaTime = 0.16;  // a1, a2, a3: the design page's starting values
+constexpr double kAlphaTime = 0.06;  // a1, a2, a3: the design page's starting values
 constexpr double kAlphaGap = 0.02;
 constexpr double kAlphaRate = 0.8;
 constexpr double kFill = 0.9;        // a pair that would fill more of the room than this is skipped
