--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -19,18 +19,18 @@
 namespace {
 
 // ---- the ordinary path ----
-constexpr Micros kSlot = 20'000;     // theta; the paper finds under 52 ms harmless, and a join takes longer
-constexpr Micros kRound = 250'000;   // between looks at what plays
-constexpr double kAlphaTime = 0.06;  // a1, a2, a3: the design page's starting values
+constexpr Micros kSlot = 20'000;    // theta; the paper finds under 52 ms harmless, and a join takes longer
+constexpr Micros kRound = 250'000;  // between looks at what plays
+constexpr double kAlphaTime = 0.1;  // a1, a2, a3: the design page's starting values
 constexpr double kAlphaGap = 0.02;
 constexpr double kAlphaRate = 0.8;
 constexpr double kFill = 0.9;        // a pair that would fill more of the room than this is skipped
 constexpr double kLeastFree = 0.02;  // part of a link that is never taken to be gone, to divide by
 constexpr double kLinkTie = 0.3;   // how the link weighs beside the narrower of link and uplink, if none fits
 constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is refused
-constexpr double kDropOver = 0.95;  // a link asked for more than this is relieved ...
-constexpr double kDropTo = 0.88;    // ... down to this: true rates wander by some tens of percent
-constexpr double kSpare = 0.8;      // a rise must leave 20% spare
+constexpr double kDropOver = 1.0;  // a link asked for more than this is relieved ...
+constexpr double kDropTo = 0.92;   // ... down to this: true rates wander by some tens of percent
+constexpr double kSpare = 0.8;     // a rise must leave 20% spare
 constexpr Micros kDropPause = 4 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
 constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
