--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -738,7 +738,8 @@
     // of the chance. Then it waits for the next figure.
     void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids) {
         if (now - s.shortAt < kQuiet || s.evidence >= kVerdict || s.standing == Standing::Off) return;
-        if (!s.link.told || s.link.at <= s.risenAt) return;
+        // Before the first figure one rise is made on what is believed; what was handed over may start low.
+        if (s.link.told ? s.link.at <= s.risenAt : s.risenAt > 0) return;
         const Uplink& up = uplinks_[rackOf(s)];
         double room = (kSpare - linkAsked(now, s)) * linkKb(now, s);
         if (up.kb > 0) room = std::min(room, (kSpare - uplinkAsked(now, rackOf(s))) * up.kb);
