--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -738,7 +738,8 @@
     // of the chance. Then it waits for the next figure.
     void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids) {
         if (now - s.shortAt < kQuiet || s.evidence >= kVerdict || s.standing == Standing::Off) return;
-        // Before the first figure one rise is made on what is believed; what was handed over may start low.
+        // Before the first figure one rise off the floor is made on what is believed: a whole day's handover
+        // may lie there.
         if (s.link.told ? s.link.at <= s.risenAt : s.risenAt > 0) return;
         const Uplink& up = uplinks_[rackOf(s)];
         double room = (kSpare - linkAsked(now, s)) * linkKb(now, s);
@@ -751,6 +752,7 @@
             for (SubId id : ids) {
                 const Sub& sub = subs_.at(id);
                 if (sub.rung >= topOf(sub) || (sub.changedAt > 0 && now - sub.changedAt < kQuiet)) continue;
+                if (!s.link.told && sub.rung > floorOf(sub)) continue;
                 const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
                 if (more > (single ? room : part)) continue;
                 const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
