--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,8 @@
 constexpr double kSpare = 0.8;      // a rise must leave 20% spare
 constexpr Micros kDropPause = 4 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
-constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
+constexpr double kEarlyPart = 0.5;  // part of a room that is taken before the first figure
+constexpr double kEarnBack = 4;     // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
 constexpr double kUseHalfLife = 8;  // seconds after which a told figure counts half
@@ -744,6 +745,7 @@
         const Uplink& up = uplinks_[rackOf(s)];
         double room = (kSpare - linkAsked(now, s)) * linkKb(now, s);
         if (up.kb > 0) room = std::min(room, (kSpare - uplinkAsked(now, rackOf(s))) * up.kb);
+        if (!s.link.told) room *= kEarlyPart;
         double part = room / fronts_;
         bool single = std::uniform_int_distribution<int>(1, fronts_)(chance_) == 1;
         for (;;) {
