--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,8 +33,7 @@
 constexpr double kSpare = 0.8;      // a rise must leave 20% spare
 constexpr Micros kDropPause = 4 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
-constexpr double kEarlyPart = 0.5;  // part of a room that is taken before the first figure
-constexpr double kEarnBack = 4;     // a rise must earn the switch this many times over
+constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
 constexpr double kUseHalfLife = 8;  // seconds after which a told figure counts half
@@ -739,13 +738,10 @@
     // of the chance. Then it waits for the next figure.
     void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids) {
         if (now - s.shortAt < kQuiet || s.evidence >= kVerdict || s.standing == Standing::Off) return;
-        // Before the first figure one rise off the floor is made on what is believed: a whole day's handover
-        // may lie there.
-        if (s.link.told ? s.link.at <= s.risenAt : s.risenAt > 0) return;
+        if (!s.link.told || s.link.at <= s.risenAt) return;
         const Uplink& up = uplinks_[rackOf(s)];
         double room = (kSpare - linkAsked(now, s)) * linkKb(now, s);
         if (up.kb > 0) room = std::min(room, (kSpare - uplinkAsked(now, rackOf(s))) * up.kb);
-        if (!s.link.told) room *= kEarlyPart;
         double part = room / fronts_;
         bool single = std::uniform_int_distribution<int>(1, fronts_)(chance_) == 1;
         for (;;) {
@@ -754,7 +750,6 @@
             for (SubId id : ids) {
                 const Sub& sub = subs_.at(id);
                 if (sub.rung >= topOf(sub) || (sub.changedAt > 0 && now - sub.changedAt < kQuiet)) continue;
-                if (!s.link.told && sub.rung > floorOf(sub)) continue;
                 const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
                 if (more > (single ? room : part)) continue;
                 const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
