--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -36,9 +36,8 @@
 constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
-constexpr double kUseHalfLife = 8;    // seconds after which a told figure counts half
-constexpr double kOthersAlike = 0.5;  // part of a front's own additions that each other front is taken to add
-constexpr double kUseUntold = 0.6;    // what a link of which nothing is known is taken to be asked
+constexpr double kUseHalfLife = 8;  // seconds after which a told figure counts half
+constexpr double kUseUntold = 0.6;  // what a link of which nothing is known is taken to be asked
 constexpr double kUntoldMost =
     0.6;  // and at most so: one join there tells, while a guess of full never would
 constexpr Micros kAnswerAge = 400'000;  // load figures in answers are about this old
@@ -335,9 +334,10 @@
         for (const auto& [at, change] : p.changes)
             if (at > p.at) moved += change;
         // Relief is shared: a front that steps down after a crowded figure knows that the others hear the
-        // same and do so too, in proportion. What was added is its own, and in part the others'.
+        // same and do so too, in proportion. Of what else they change nothing is known, and nothing is
+        // guessed.
         if (moved < 0 && p.use > kDropOver) return p.use * std::max(0.0, ownKb / (ownKb - moved));
-        return std::max(0.0, p.use + moved * (moved > 0 ? 1 + kOthersAlike * (fronts_ - 1) : 1) / kb);
+        return std::max(0.0, p.use + moved / kb);
     }
 
     // What is asked of a link over what it gives. A figure counts for less with its age; in its place comes
