Round: an uplink's width is learnt from what was asked when it was short, and fades back

The width was computed from what is asked now, after the drops, over a shortness from before them, and only widened above 90% of itself, which rises (20% spare) never reach.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 
@@ -329,10 +330,15 @@
     }
 
     // A told figure, carried forward by what this front has changed since, and as if every front did alike.
-    double carried(const Pipe& p, double kb, double ownKb) const {
+    double carried(const Pipe& p, double kb, double ownKb,
+                   Micros until = std::numeric_limits<Micros>::max()) const {
         double moved = 0;
-        for (const auto& [at, change] : p.changes)
-            if (at > p.at) moved += change;
+        for (const auto& [at, change] : p.changes) {
+            if (at > until)
+                ownKb -= change;
+            else if (at > p.at)
+                moved += change;
+        }
         // Relief is shared: a front that steps down after a crowded figure knows that the others hear the
         // same and do so too, in proportion. Of what else they change nothing is known, and nothing is
         // guessed.
@@ -417,8 +423,16 @@
         const std::size_t rack = rackOf(s);
         Uplink& up = uplinks_[rack];
         up.shortAt = now;
-        if (!up.pipe.told && up.kb > 0)  // one that is told speaks for itself
-            up.kb = std::clamp(rackAskedKb(now, rack) / s.shortBy, 0.1 * fleet_.uplinkKb, up.kb);
+        if (up.pipe.told || up.kb <= 0) return;  // one that is told speaks for itself
+        // The shortness is of a while ago, and so must be what was asked: drops since then have made room.
+        double then = 0;
+        for (const auto& [id, one] : sfus_) {
+            if (one.standing == Standing::Off || rackOf(one) != rack) continue;
+            const double kb = linkKb(now, one);
+            then += one.link.told ? kb * carried(one.link, kb, one.ownKb, now - tidings_.late)
+                                  : kb * linkAsked(now, one);
+        }
+        up.kb = std::clamp(then / s.shortBy, 0.1 * fleet_.uplinkKb, up.kb);
     }
 
     // A note at set-up speaks of now, the others of a while ago.
@@ -697,7 +711,10 @@
             Uplink& up = uplinks_[rack];
             while (!up.pipe.changes.empty() && up.pipe.changes.front().first < now - 20 * kSecond)
                 up.pipe.changes.pop_front();
-            if (!up.pipe.told && now - up.shortAt > 3 * kSecond && uplinkAsked(now, rack) > 0.9)
+            // A width learnt from a shortness fades while the uplink is used and nothing is short: quickly to
+            // what was told, beyond it only if the uplink is nearly full by that.
+            const double used = up.pipe.told ? 0 : uplinkAsked(now, rack);
+            if (now - up.shortAt > 3 * kSecond && used > (up.kb < fleet_.uplinkKb ? 0.5 : 0.9))
                 up.kb *= 1 + kUplinkBack * seconds(kRound);
         }
         std::map<SfuId, std::vector<SubId>> mine;
