--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -422,8 +422,14 @@
     void uplinkShort(Micros now, const Sfu& s) {
         const std::size_t rack = rackOf(s);
         Uplink& up = uplinks_[rack];
-        up.shortAt = now;
         if (up.pipe.told || up.kb <= 0) return;  // one that is told speaks for itself
+        // A narrow uplink makes every media server behind it short; one that is well clears it.
+        int alsoShort = 0, well = 0;
+        for (const auto& [id, one] : sfus_)
+            if (one.standing != Standing::Off && rackOf(one) == rack && one.ownKb > 0)
+                ++(now - one.shortAt < 2 * kSecond ? alsoShort : well);
+        if (well > alsoShort) return;
+        up.shortAt = now;
         // The shortness is of a while ago, and so must be what was asked: drops since then have made room.
         double then = 0;
         for (const auto& [id, one] : sfus_) {
