--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -34,10 +34,7 @@
 constexpr double kSpare = 0.8;      // a rise must leave 20% spare
 constexpr Micros kDropPause = 10 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
-constexpr double kMoveOver = 1.08;  // at this, with no rung left to give, subscriptions are moved off
-constexpr double kShortLasts = 12;  // seconds that a shortness is taken to last on
-constexpr double kMovePays = 1.5;   // a move must earn its price this many times over
-constexpr double kEarnBack = 4;     // a rise must earn the switch this many times over
+constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
 constexpr double kUseHalfLife = 8;  // seconds after which a told figure counts half
@@ -308,7 +305,7 @@
         double evidence = 0;  // of the sequential test
         Micros pause = 0, askAgainAt = 0;
         double shortBy = 0;  // asked over given, by the last short note
-        Micros risenAt = 0, movedAt = 0, fullPause = 0, fullUntil = 0, shortAt = -1'000 * kSecond;
+        Micros risenAt = 0, fullPause = 0, fullUntil = 0, shortAt = -1'000 * kSecond;
         Micros lastJoinAt = -1'000 * kSecond;
         int joinsOut = 0;
     };
@@ -771,49 +768,13 @@
                     pick = id;
                 }
             }
-            if (!pick) {
-                moveOff(now, s, ids, use, toFree);
-                return;
-            }
+            if (!pick) return;
             Sub& sub = subs_.at(*pick);
             toFree -= kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1);
             retune(now, *pick, sub, sub.rung - 1);
         }
     }
 
-    // No rung is left to give and the link stays far too short: all there earn nothing. This front's part of
-    // the excess moves to other holders that have room, where what it will earn there pays for the move. One
-    // pass a told figure.
-    void moveOff(Micros now, Sfu& s, const std::vector<SubId>& ids, double use, double toFree) {
-        if (use < kMoveOver || !s.link.told || s.link.at <= s.movedAt) return;
-        const double lost = std::min(1.0, (1 - 1 / use) * ladder_.stallLoss);
-        for (SubId id : ids) {
-            const Sub& sub = subs_.at(id);
-            if (toFree < kbOf(sub, sub.rung) / 2) return;
-            const double left = secondsLeft(now, sub), sofar = seconds(now - sub.takenAt);
-            if (sub.rung > floorOf(sub) || now - sub.playsSince < kQuiet || sub.wish.moved) continue;
-            if (lost * std::min(left, kShortLasts) / (left + sofar) < kMovePays * allowed_.movePrice)
-                continue;
-            if (!roomElsewhere(now, sub)) continue;
-            toFree -= kbOf(sub, sub.rung);
-            s.movedAt = now;
-            host_.move(id);
-        }
-    }
-
-    bool roomElsewhere(Micros now, const Sub& sub) const {
-        const auto cells = static_cast<std::uint32_t>(fleet_.cells);
-        for (const auto& [id, s] : sfus_) {
-            if (id == sub.at || s.standing != Standing::On || s.evidence > 0 || warmShare(now, s) < 1)
-                continue;
-            if ((s.cell.v + cells - sub.wish.firstCell.v % cells) % cells >=
-                static_cast<std::uint32_t>(std::max(0, sub.wish.holders)))
-                continue;
-            if (asked(now, s) + kbOf(sub, floorOf(sub)) / linkKb(now, s) < kSpare) return true;
-        }
-        return false;
-    }
-
     // Room that a told figure leaves is taken up in steps, the most benefit per kB first. All fronts hear the
     // same figures at the same time: each takes its part, or where that holds no step, one step at its part
     // of the chance. Then it waits for the next figure.
--- a/src/model/records.hpp
+++ b/src/model/records.hpp
@@ -67,7 +67,6 @@
     bool peers = false;
     bool comeBack = false;  // a viewer may be told when to come again
     Micros comeBackAtMost = 0;
-    double movePrice = 0;  // of one subscription, as a part of what a subscription is worth
 };
 
 enum class Standing { On, Fading, Off };
