--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,14 +29,10 @@
 constexpr double kLeastFree = 0.02;  // part of a link that is never taken to be gone, to divide by
 constexpr double kLinkTie = 0.3;   // how the link weighs beside the narrower of link and uplink, if none fits
 constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is refused
-constexpr double kDropOver = 1.02;           // a link asked for more than this is relieved ...
-constexpr double kDropTo = 0.95;             // ... down to this: true rates wander by some tens of percent
-constexpr double kSpare = 0.8;               // a rise must leave 20% spare
-constexpr Micros kDropPause = 10 * kSecond;  // the page's
-constexpr double kFarShort =
-    1.15;  // asked so much over what is given, subscriptions there earn next to nothing
-constexpr Micros kHardPause =
-    4 * kSecond;  // and step down again as soon as a figure shows the last step's effect
+constexpr double kDropOver = 1.02;  // a link asked for more than this is relieved ...
+constexpr double kDropTo = 0.95;    // ... down to this: true rates wander by some tens of percent
+constexpr double kSpare = 0.8;      // a rise must leave 20% spare
+constexpr Micros kDropPause = 10 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
 constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
 
@@ -758,13 +754,13 @@
     // Own subscriptions give up this front's part of what is too much, the cheapest benefit per kB first.
     void stepDown(Micros now, Sfu& s, const std::vector<SubId>& ids, double use) {
         double toFree = s.ownKb * (1 - kDropTo / use);
-        const Micros pause = use > kFarShort ? kHardPause : kDropPause;
+        std::vector<SubId> changed;
         while (toFree > 0) {
             std::optional<SubId> pick;
             double least = 1e18;
             for (SubId id : ids) {
                 const Sub& sub = subs_.at(id);
-                if (sub.rung <= floorOf(sub) || now - sub.changedAt < pause) continue;
+                if (sub.rung <= floorOf(sub) || now - sub.changedAt < kDropPause) continue;
                 const double cost = (earns(sub, sub.rung) - earns(sub, sub.rung - 1)) /
                                     (kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1));
                 if (cost < least) {
