Housekeeping: what is not used is gone; nothing grows with uptime

Gone media servers and empty seat counts are forgotten, and requests are counted only where a budget is stated.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -28,7 +28,7 @@
 constexpr double kFill = 0.9;        // a pair that would fill more of the room than this is skipped
 constexpr double kLeastFree = 0.02;  // part of a link that is never taken to be gone, to divide by
 constexpr double kLinkTie = 0.3;   // how the link weighs beside the narrower of link and uplink, if none fits
-constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is refused
+constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is throttled
 constexpr double kDropOver = 1.02;  // a link asked for more than this is relieved ...
 constexpr double kDropTo = 0.95;    // ... down to this: true rates wander by some tens of percent
 constexpr double kSpare = 0.8;      // a rise must leave 20% spare
@@ -128,7 +128,7 @@
         sub.wish = wish;
         sub.takenAt = now;
         sub.rung = roomOf(sub).floor;
-        taken_.push_back(now);
+        if (budget_) taken_.push_back(now);
         waiting_.push_back(id);
         if (tooLateToWait(now, sub))
             placeAll(now);
@@ -464,7 +464,8 @@
     void hold(Micros now, Sub& sub, int sign) {
         Sfu& s = sfus_[sub.at];
         shift(now, s, sign * kbOf(sub, sub.rung));
-        seats_[{sub.wish.room, sub.wish.title}] += sign;
+        const auto seat = seats_.try_emplace({sub.wish.room, sub.wish.title}, 0).first;
+        if ((seat->second += sign) <= 0) seats_.erase(seat);
         if (sub.state == State::Joining || (sign > 0 && sub.state == State::Waiting)) s.joinsOut += sign;
     }
 
@@ -644,7 +645,7 @@
     void sendJoin(Micros now, SubId id, Sub& sub, SfuId at, int rung) {
         Sfu& s = sfus_[at];
         if (!mayJoin(now, sub, at, s)) return;
-        if (sub.joins > 0) further_.push_back(now);
+        if (budget_ && sub.joins > 0) further_.push_back(now);
         sub.at = at;
         sub.rung = rung;
         sub.joinedAt = now;
@@ -715,6 +716,10 @@
     // ================= what plays =================
 
     void sweep(Micros now) {
+        std::erase_if(sfus_, [](const auto& entry) {  // gone, and nothing of this front left there
+            return entry.second.standing == Standing::Off && entry.second.ownKb <= 0 &&
+                   entry.second.joinsOut <= 0;
+        });
         double sum = 0, count = 0;
         for (auto& [id, s] : sfus_) {
             while (!s.link.changes.empty() && s.link.changes.front().first < now - 20 * kSecond)
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -18,9 +18,7 @@
   public:
     virtual ~Host() = default;
     virtual void join(SubId, SfuId, Micros timeOut) = 0;  // joins of a subscription are numbered from 0
-    virtual void dropJoin(SubId, int joinNo) = 0;
     virtual void setRung(SubId, int rung) = 0;
-    virtual void move(SubId) = 0;                       // off its media server; the viewer comes back soon
     virtual void throttle(SubId, Micros comeBack) = 0;  // final; 0 names no time
     virtual void terminate(SubId) = 0;                  // final
     virtual void wakeAfter(Micros, const std::string& why) = 0;
--- a/src/model/records.hpp
+++ b/src/model/records.hpp
@@ -62,9 +62,6 @@
 
 struct Allowed {
     int joinsEach = 1;
-    bool cancel = false;
-    bool probes = false;
-    bool peers = false;
     bool comeBack = false;  // a viewer may be told when to come again
     Micros comeBackAtMost = 0;
 };
@@ -88,14 +85,12 @@
     Cell firstCell;
     int holders = 1;
     int maxRung = 0;
-    bool returning = false;
-    bool moved = false;
 };
 
 enum class JoinEnd { Played, Error, Full, TimedOut, NoConnection, Reset, Cancelled, NeverSent };
 
-struct Load {  // what a media server tells of itself in an answer
-    std::optional<double> streams, linkUse, uplinkUse;
+struct Load {                                  // what a media server tells of itself in an answer
+    std::optional<double> linkUse, uplinkUse;  // asked over given
 };
 
 }  // namespace valekeel
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -205,10 +205,8 @@
             budget = JoinBudget{numberOr(rules, "spare_attempts", 0, where),
                                 numberOr(rules, "resend_ratio", 0, where), time(rules, "look_back", where)};
         const Tidings tidings{timeOr(video, "told_late", where), timeOr(video, "told_every", where)};
-        const Allowed leave{
-            smallInt(allowed, "attempts_cap", where), flag(allowed, "cancel", where),
-            flag(allowed, "probes", where),           flag(allowed, "peers", where),
-            flag(allowed, "retry_after", where),      timeOr(allowed, "max_retry_after", where)};
+        const Allowed leave{smallInt(allowed, "attempts_cap", where), flag(allowed, "retry_after", where),
+                            timeOr(allowed, "max_retry_after", where)};
         const Json& seed = need(hello, "rng_seed", where);
         if (!seed.is_number_integer()) bad(where, "'rng_seed' is no whole number");
         const std::uint64_t seedValue = seed.is_number_unsigned()
@@ -294,9 +292,7 @@
     void join(SubId id, SfuId at, Micros timeOut) override {
         act("Relay", {{"ref", id.v}, {"within", seconds(timeOut)}, {"server", at.v}});
     }
-    void dropJoin(SubId id, int joinNo) override { act("DropAttempt", {{"ref", id.v}, {"send_no", joinNo}}); }
     void setRung(SubId id, int rung) override { act("Retune", {{"ref", id.v}, {"tier_no", rung}}); }
-    void move(SubId id) override { act("Bounce", {{"ref", id.v}}); }
     void throttle(SubId id, Micros comeBack) override {
         Json more{{"ref", id.v}};
         if (comeBack > 0) more["come_back"] = seconds(comeBack);
@@ -325,8 +321,6 @@
         w.firstCell = Cell{id32(event, "first_cell", where)};
         w.holders = smallInt(event, "holders", where);
         w.maxRung = smallInt(event, "max_rung", where);
-        w.returning = flag(event, "again", where);
-        w.moved = flag(event, "moved", where);
         return w;
     }
     static Load load(const Json& event, const std::string& where) {
@@ -334,7 +328,6 @@
         const Json* gauge = find(event, "gauge");
         if (!gauge) return out;
         if (!gauge->is_object()) bad(where, "'gauge' is no object");
-        if (find(*gauge, "outstanding")) out.streams = number(*gauge, "outstanding", where);
         if (find(*gauge, "x0"))
             out.linkUse = number(*gauge, "x0", where);
         else if (find(*gauge, "utilization"))
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -46,7 +46,7 @@
             *this, now, 11, s.fronts, Ladder{{100, 300, 900}, {.3, .7, 1}, 8, .5}, rooms,
             Fleet{s.sfus, 2, 10'000.0 * s.sfus, 10'000, 10'000.0 * s.sfus / 2, true, s.listAsked, {24}},
             ColdTerms{12 * kSecond, .4, 2.5, 3 * kSecond}, s.budget ? &*s.budget : nullptr,
-            Tidings{kSecond, s.every}, Allowed{3, true, false, false, s.comeBack, kSecond / 2});
+            Tidings{kSecond, s.every}, Allowed{3, s.comeBack, kSecond / 2});
         std::vector<ListedSfu> list;
         for (int i = 0; i < s.sfus; ++i) list.push_back(entry(i, Standing::On, s.launched));
         logic->listed(now, list, s.stale);
@@ -92,9 +92,7 @@
     void join(SubId id, SfuId at, Micros timeOut) override {
         joins.push_back({id, at, now, timeOut, static_cast<int>(count[id]++)});
     }
-    void dropJoin(SubId, int) override {}
     void setRung(SubId id, int rung) override { rungs[id] = rung; }
-    void move(SubId id) override { moved.insert(id); }
     void throttle(SubId id, Micros comeBack) override { throttled[id] = comeBack; }
     void terminate(SubId id) override { terminated.insert(id); }
     void wakeAfter(Micros after, const std::string& why) override { wakes.emplace(now + after, why); }
@@ -109,7 +107,7 @@
     std::map<SubId, unsigned> count;
     std::map<SubId, int> rungs;
     std::map<SubId, Micros> throttled;
-    std::set<SubId> terminated, moved;
+    std::set<SubId> terminated;
     int follows = 0;
     std::multimap<Micros, std::string> wakes;
 };
