Round: the first join to a cold server comes at a drawn phase, rivals guessed by own requests

Cause: each front's first join to a fresh server was free, and hundreds of fronts hold one each. Now a front draws where in the first gap its turn lies; the gap counts the fronts that may have a request for that server within a warm-up. Also holds against mass replacement and restarted servers in general. Could hurt where a fresh server is the only holder: it waits its turn, then is throttled.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,6 +62,7 @@
 constexpr Micros kLeastPatience = 250'000;
 constexpr Micros kAskAgain = 500'000;
 constexpr double kColdPart = 0.6;  // of the pace that the rules allow a cold media server
+constexpr double kCrowding = 8;  // a title sought by many takes its holders this many times their usual joins
 
 }  // namespace
 
@@ -97,11 +98,12 @@
         listChanged(now, entries);
     }
 
-    void listChanged(Micros, std::span<const ListedSfu> entries) {
+    void listChanged(Micros now, std::span<const ListedSfu> entries) {
         for (const ListedSfu& e : entries) {
             Sfu& s = sfus_[e.id];
             if (e.launched > s.startedAt) {  // a new process: what was held against the old one is void
                 s.startedAt = e.launched;
+                mayBeCold(now, s);
                 s.evidence = 0;
                 s.link = Pipe{};
             }
@@ -129,6 +131,9 @@
         sub.takenAt = now;
         sub.rung = roomOf(sub).floor;
         if (budget_) taken_.push_back(now);
+        const double kept = std::exp(-seconds(now - lastTakenAt_) / std::max(0.1, seconds(cold_.warmUp)));
+        takenInWarmUp_ = 1 + takenInWarmUp_ * kept;
+        lastTakenAt_ = now;
         waiting_.push_back(id);
         if (tooLateToWait(now, sub))
             placeAll(now);
@@ -161,7 +166,7 @@
         // Guards against a rush onto a cold server; could hurt after a mere cut of the network, for one
         // warm-up.
         Sfu& s = sfus_[at];
-        if (s.evidence >= kVerdict && s.mayHaveRestartedAt > s.startedAt) s.mayHaveRestartedAt = now;
+        if (s.evidence >= kVerdict && s.mayHaveRestartedAt > s.startedAt) mayHaveRestarted(now, s);
         sfus_[at].fullPause = 0;
         judge(now, sfus_[at], kGoodStep);
     }
@@ -178,15 +183,15 @@
                 judge(now, s, kFailStep);
                 break;
             case JoinEnd::Reset:
-                s.mayHaveRestartedAt = now;
+                mayHaveRestarted(now, s);
                 judge(now, s, kFailStep);
                 break;
             case JoinEnd::NoConnection:
-                s.mayHaveRestartedAt = now;
+                mayHaveRestarted(now, s);
                 judge(now, s, kFailStep);
                 break;
             case JoinEnd::TimedOut:
-                s.mayHaveRestartedAt = now;
+                mayHaveRestarted(now, s);
                 if (!suspected) judge(now, s, kFailStep);
                 break;
             case JoinEnd::Full:
@@ -312,6 +317,8 @@
         double shortBy = 0;  // asked over given, by the last short note
         Micros risenAt = 0, fullPause = 0, fullUntil = 0, shortAt = -1'000 * kSecond;
         Micros lastJoinAt = -1'000 * kSecond;
+        Micros coldSeenAt = 0;  // when this front learnt that it may be cold
+        double phase = 0;       // drawn then: where its own turn lies among those of all fronts
         int joinsOut = 0;
     };
 
@@ -494,7 +501,7 @@
 
     // ================= the rules: the one place that every join passes =================
 
-    bool mayJoin(Micros now, const Sub& sub, SfuId id, const Sfu& s) {
+    bool mayJoin(Micros now, const Sub& sub, SfuId id, const Sfu& s, Micros turnBy) {
         const RoomType& room = roomOf(sub);
         if (sub.state != State::Waiting || sub.gone) return false;  // one join out, no answer given
         if (now >= sub.wish.giveUpAt || sub.joins >= allowed_.joinsEach) return false;
@@ -509,7 +516,7 @@
             return false;
         if (seatsLeft(sub) <= 0) return false;
         if (sub.joins > 0 && !budgetLeft(now)) return false;
-        return coldTurn(now, s);
+        return coldTurn(now, sub, s) <= turnBy;
     }
 
     int seatsLeft(const Sub& sub) const {
@@ -527,18 +534,32 @@
                budget_->free + budget_->share * static_cast<double>(taken_.size());
     }
 
-    // A media server that may be cold takes joins at a part of the pace it bears at its start. Each front
-    // keeps to its share of that as a gap between its own joins, so all together keep the pace without a
-    // word, and a burst can't spend it.
-    bool coldTurn(Micros now, const Sfu& s) const {
+    void mayBeCold(Micros now, Sfu& s) {
+        s.coldSeenAt = now;
+        s.phase = std::uniform_real_distribution<double>(0, 1)(chance_);
+    }
+    void mayHaveRestarted(Micros now, Sfu& s) {
+        s.mayHaveRestartedAt = now;
+        mayBeCold(now, s);
+    }
+
+    // When this front may next join a media server that may be cold. All that may compete for it keep,
+    // summed, a part of the pace that it bears at its start: each has a gap between its own joins, and draws
+    // where in the first gap its turn lies, so the first joins of hundreds of fronts don't come at once.
+    // Those that may compete are the fronts with a request for it within a warm-up; each guesses them by its
+    // own.
+    Micros coldTurn(Micros now, const Sub& sub, const Sfu& s) const {
         const bool young = warmShare(now, s) < 1;
         // A front that has just come up knows an old list: any media server may have restarted meanwhile.
         const bool blind = listStale_ && !handedOver_ && now - bornAt_ < cold_.warmUp;
-        if (!young && !blind) return true;
+        if (!young && !blind) return 0;
         const double pace =
             kColdPart * cold_.fallMultiple * cold_.firstShare * placesOf(s) / seconds(cold_.warmUp);
-        const auto turn = static_cast<Micros>(1e6 / std::max(pace, 1e-3));
-        return now - s.lastJoinAt >= turn * fronts_;
+        const double holding = static_cast<double>(sub.wish.holders) / fleet_.cells;
+        const double rivals = fronts_ * std::min(1.0, takenInWarmUp_ * holding * kCrowding);
+        const double gap = std::max(1.0, rivals) * 1e6 / std::max(pace, 1e-3);
+        const Micros first = young ? s.coldSeenAt + static_cast<Micros>(s.phase * gap) : 0;
+        return std::max(first, s.lastJoinAt + static_cast<Micros>(gap));
     }
 
     // ================= placing =================
@@ -580,7 +601,7 @@
         int chosenRung = floorOf(sub);
         const double middle = ladder_.kb[ladder_.kb.size() / 2];
         for (auto& [sfuId, s] : sfus_) {
-            if (!mayJoin(now, sub, sfuId, s) || setAside(now, s) || now < s.fullUntil) continue;
+            if (!mayJoin(now, sub, sfuId, s, now) || setAside(now, s) || now < s.fullUntil) continue;
             if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
             const double link = linkAsked(now, s), uplink = uplinkAsked(now, rackOf(s));
             const double doubt = kDoubtWeight * std::max(0.0, s.evidence);
@@ -621,8 +642,8 @@
             sendJoin(now, id, sub, *chosen, chosenRung);
             return;
         }
-        if (seatsLeft(sub) > 0 && now - sub.takenAt < roomOf(sub).joinObjective / 2 &&
-            !tooLateToWait(now, sub) && holderMayComeFree(now, sub))
+        const Micros waitUntil = sub.takenAt + roomOf(sub).joinObjective / 2;
+        if (now < waitUntil && !tooLateToWait(now, sub) && holderMayComeFree(now, sub, waitUntil))
             waiting_.push_back(id);
         else
             giveUp(now, id);
@@ -637,19 +658,17 @@
         return kb;
     }
 
-    bool holderMayComeFree(Micros now, const Sub& sub) {
-        for (auto& [id, s] : sfus_) {
-            if (s.standing != Standing::On || coldTurn(now, s)) continue;
-            Sfu warm = s;
-            warm.lastJoinAt = -1'000 * kSecond;
-            if (mayJoin(now, sub, id, warm)) return true;
-        }
-        return false;
+    bool holderMayComeFree(Micros now, const Sub& sub, Micros by) {
+        return std::any_of(sfus_.begin(), sfus_.end(), [&](const auto& entry) {
+            const Sfu& s = entry.second;
+            const Micros free = std::max(s.evidence >= kVerdict ? s.askAgainAt : 0, s.fullUntil);
+            return free <= by && mayJoin(now, sub, entry.first, s, by);
+        });
     }
 
     void sendJoin(Micros now, SubId id, Sub& sub, SfuId at, int rung) {
         Sfu& s = sfus_[at];
-        if (!mayJoin(now, sub, at, s)) return;
+        if (!mayJoin(now, sub, at, s, now)) return;
         if (budget_ && sub.joins > 0) further_.push_back(now);
         sub.at = at;
         sub.rung = rung;
@@ -853,6 +872,8 @@
     std::deque<Micros> taken_, further_;
     Histogram setups_;
     double meanBenefit_ = 0, kbPerPlace_ = 0, fleetUse_ = kUseUntold;
+    double takenInWarmUp_ = 0;  // requests, fading by that time
+    Micros lastTakenAt_ = 0;
     bool slotOpen_ = false, listStale_ = false, handedOver_ = false;
 };
 
