--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,6 +27,7 @@
 constexpr double kAlphaRate = 0.8;
 constexpr double kFill = 0.9;        // a pair that would fill more of the room than this is skipped
 constexpr double kLeastFree = 0.02;  // part of a link that is never taken to be gone, to divide by
+constexpr double kNearTie = 0.02;    // scores so near each other are settled by chance
 constexpr double kLinkTie = 0.3;   // how the link weighs beside the narrower of link and uplink, if none fits
 constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is throttled
 constexpr double kDropOver = 1.02;  // a link asked for more than this is relieved ...
@@ -604,7 +605,10 @@
             if (!mayJoin(now, sub, sfuId, s, now) || setAside(now, s) || now < s.fullUntil) continue;
             if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
             const double link = linkAsked(now, s), uplink = uplinkAsked(now, rackOf(s));
-            const double doubt = kDoubtWeight * std::max(0.0, s.evidence);
+            // Of most media servers a front knows nothing, and all fronts would take the first of those
+            // alike.
+            const double doubt = kDoubtWeight * std::max(0.0, s.evidence) +
+                                 std::uniform_real_distribution<double>(0, kNearTie)(chance_);
             // Link and uplink lie one behind the other: their fetch times add up. The larger alone would
             // leave the media servers of a crowded rack alike, however empty some of their links are.
             const double slowness =
