--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -808,17 +808,19 @@
         }
     }
 
-    // Room that a told figure leaves is taken up in steps, the most benefit per kB first. All fronts hear the
-    // same figures at the same time: each takes its part, or where that holds no step, one step at its part
-    // of the chance. Then it waits for the next figure.
+    // Room that a told figure leaves is taken up in steps, the most benefit per kB first. All fronts that
+    // play there hear the same figure at the same time: each takes the part of the room that its own rates
+    // are of what is asked, and the last step, which that part does not hold, by chance. Then it waits for
+    // the next figure.
     void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids) {
         if (now - s.shortAt < kQuiet || s.evidence >= kVerdict || s.standing == Standing::Off) return;
         if (!s.link.told || s.link.at <= s.risenAt) return;
+        s.risenAt = s.link.at;
         const Uplink& up = uplinks_[rackOf(s)];
-        double room = (kSpare - linkAsked(now, s)) * linkKb(now, s);
+        const double use = linkAsked(now, s), kb = linkKb(now, s);
+        double room = (kSpare - use) * kb;
         if (up.kb > 0) room = std::min(room, (kSpare - uplinkAsked(now, rackOf(s))) * up.kb);
-        double part = room / fronts_;
-        bool single = std::uniform_int_distribution<int>(1, fronts_)(chance_) == 1;
+        double part = room * std::min(1.0, s.ownKb / std::max(1.0, use * kb));
         for (;;) {
             std::optional<SubId> pick;
             double most = 0;
@@ -826,7 +828,7 @@
                 const Sub& sub = subs_.at(id);
                 if (sub.rung >= topOf(sub) || (sub.changedAt > 0 && now - sub.changedAt < kQuiet)) continue;
                 const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
-                if (more > (single ? room : part)) continue;
+                if (more > room) continue;
                 const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
                 if (gain * secondsLeft(now, sub) < kEarnBack * ladder_.switchSeconds * roomOf(sub).benefit)
                     continue;
@@ -838,9 +840,9 @@
             if (!pick) return;
             Sub& sub = subs_.at(*pick);
             const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
-            single = false;
+            const double drawn = std::uniform_real_distribution<double>(0, 1)(chance_);
+            if (part < drawn * more) return;
             part -= more;
-            s.risenAt = now;
             retune(now, *pick, sub, sub.rung + 1);
         }
     }
