--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -296,7 +296,11 @@
         bool told = false;
         double use = 0;  // asked over given, at `at`
         Micros at = 0;
-        std::deque<std::pair<Micros, double>> changes;  // of this front's own rates, kB a second
+        struct Change {
+            Micros at;
+            double ownKb, othersKb;  // of this front's own rates, and what others are taken to have changed
+        };
+        std::deque<Change> changes;
     };
 
     struct Uplink {
@@ -353,20 +357,12 @@
         return cold_.firstShare + (1 - cold_.firstShare) * seconds(now - since) / seconds(cold_.warmUp);
     }
 
-    // A told figure, carried forward by what this front has changed since, and as if every front did alike.
-    double carried(const Pipe& p, double kb, double ownKb,
-                   Micros until = std::numeric_limits<Micros>::max()) const {
+    // A told figure, carried forward by what this front has changed since, and by the relief that others are
+    // taken to have given. Of what else they change nothing is known, and nothing is guessed.
+    double carried(const Pipe& p, double kb, Micros until = std::numeric_limits<Micros>::max()) const {
         double moved = 0;
-        for (const auto& [at, change] : p.changes) {
-            if (at > until)
-                ownKb -= change;
-            else if (at > p.at)
-                moved += change;
-        }
-        // Relief is shared: a front that steps down after a crowded figure knows that the others hear the
-        // same and do so too, in proportion. Of what else they change nothing is known, and nothing is
-        // guessed.
-        if (moved < 0 && p.use > kDropOver) return p.use * std::max(0.0, ownKb / (ownKb - moved));
+        for (const Pipe::Change& c : p.changes)
+            if (c.at > p.at && c.at <= until) moved += c.ownKb + c.othersKb;
         return std::max(0.0, p.use + moved / kb);
     }
 
@@ -378,7 +374,7 @@
         double asked = untold;
         if (s.link.told) {
             const double trust = std::exp2(-seconds(now - s.link.at) / kUseHalfLife);
-            asked = trust * carried(s.link, kb, s.ownKb) + (1 - trust) * untold;
+            asked = trust * carried(s.link, kb) + (1 - trust) * untold;
         }
         return std::max(asked, s.ownKb / kb);
     }
@@ -390,20 +386,13 @@
         return kb;
     }
 
-    double rackOwnKb(std::size_t rack) const {
-        double kb = 0;
-        for (const auto& [id, s] : sfus_)
-            if (rackOf(s) == rack) kb += s.ownKb;
-        return kb;
-    }
-
     double uplinkAsked(Micros now, std::size_t rack) const {
         const Uplink& up = uplinks_[rack];
         if (up.kb <= 0) return 0;
         const double summed = rackAskedKb(now, rack) / up.kb;
         if (!up.pipe.told) return summed;
         const double trust = std::exp2(-seconds(now - up.pipe.at) / kUseHalfLife);
-        return trust * carried(up.pipe, up.kb, rackOwnKb(rack)) + (1 - trust) * summed;
+        return trust * carried(up.pipe, up.kb) + (1 - trust) * summed;
     }
 
     double asked(Micros now, const Sfu& s) const {
@@ -415,7 +404,7 @@
     double knownAsked(Micros now, const Sfu& s) const {
         auto known = [&](const Sfu& one) {
             const double kb = linkKb(now, one);
-            return std::max(one.link.told ? carried(one.link, kb, one.ownKb) : 0, one.ownKb / kb);
+            return std::max(one.link.told ? carried(one.link, kb) : 0, one.ownKb / kb);
         };
         const std::size_t rack = rackOf(s);
         const Uplink& up = uplinks_[rack];
@@ -423,23 +412,22 @@
         double rackKb = 0;
         for (const auto& [id, one] : sfus_)
             if (one.standing != Standing::Off && rackOf(one) == rack) rackKb += known(one) * linkKb(now, one);
-        return std::max(known(s), up.pipe.told ? carried(up.pipe, up.kb, rackOwnKb(rack)) : rackKb / up.kb);
+        return std::max(known(s), up.pipe.told ? carried(up.pipe, up.kb) : rackKb / up.kb);
     }
 
-    void hear(Micros now, Pipe& p, double kb, double ownKb, double use, Micros age, double part) {
+    void hear(Micros now, Pipe& p, double kb, double use, Micros age, double part) {
         const Micros at = now - age;
         if (at < p.at) return;
-        p.use = p.told ? part * use + (1 - part) * carried(p, kb, ownKb) : use;
+        p.use = p.told ? part * use + (1 - part) * carried(p, kb) : use;
         p.told = true;
         p.at = at;
-        while (!p.changes.empty() && p.changes.front().first <= at) p.changes.pop_front();
+        while (!p.changes.empty() && p.changes.front().at <= at) p.changes.pop_front();
     }
     void hearLink(Micros now, Sfu& s, double use, Micros age, double part) {
-        hear(now, s.link, linkKb(now, s), s.ownKb, use, age, part);
+        hear(now, s.link, linkKb(now, s), use, age, part);
     }
     void hearUplink(Micros now, std::size_t rack, double use, Micros age, double part) {
-        if (uplinks_[rack].kb > 0)
-            hear(now, uplinks_[rack].pipe, uplinks_[rack].kb, rackOwnKb(rack), use, age, part);
+        if (uplinks_[rack].kb > 0) hear(now, uplinks_[rack].pipe, uplinks_[rack].kb, use, age, part);
     }
 
     // Delivery is short by more than the link explains: the uplink is the narrow one.
@@ -459,8 +447,8 @@
         for (const auto& [id, one] : sfus_) {
             if (one.standing == Standing::Off || rackOf(one) != rack) continue;
             const double kb = linkKb(now, one);
-            then += one.link.told ? kb * carried(one.link, kb, one.ownKb, now - tidings_.late)
-                                  : kb * linkAsked(now, one);
+            then +=
+                one.link.told ? kb * carried(one.link, kb, now - tidings_.late) : kb * linkAsked(now, one);
         }
         up.kb = std::clamp(then / s.shortBy, 0.1 * fleet_.uplinkKb, up.kb);
     }
@@ -484,8 +472,8 @@
 
     void shift(Micros now, Sfu& s, double kb) {
         s.ownKb = std::max(0.0, s.ownKb + kb);
-        s.link.changes.emplace_back(now, kb);
-        uplinks_[rackOf(s)].pipe.changes.emplace_back(now, kb);
+        s.link.changes.push_back({now, kb, 0});
+        uplinks_[rackOf(s)].pipe.changes.push_back({now, kb, 0});
     }
 
     // What was handed over has long been part of what is told of a link: it is no change.
@@ -750,16 +738,16 @@
         });
         double sum = 0, count = 0;
         for (auto& [id, s] : sfus_) {
-            while (!s.link.changes.empty() && s.link.changes.front().first < now - 20 * kSecond)
+            while (!s.link.changes.empty() && s.link.changes.front().at < now - 20 * kSecond)
                 s.link.changes.pop_front();
             if (s.standing != Standing::On || !s.link.told || now - s.link.at > 6 * kSecond) continue;
-            sum += carried(s.link, linkKb(now, s), s.ownKb);
+            sum += carried(s.link, linkKb(now, s));
             ++count;
         }
         fleetUse_ = count > 0 ? sum / count : kUseUntold;
         for (std::size_t rack = 0; rack < uplinks_.size(); ++rack) {
             Uplink& up = uplinks_[rack];
-            while (!up.pipe.changes.empty() && up.pipe.changes.front().first < now - 20 * kSecond)
+            while (!up.pipe.changes.empty() && up.pipe.changes.front().at < now - 20 * kSecond)
                 up.pipe.changes.pop_front();
             // A width learnt from a shortness fades while the uplink is used and nothing is short: quickly to
             // what was told, beyond it only if the uplink is nearly full by that.
@@ -784,10 +772,14 @@
         }
     }
 
-    // Own subscriptions give up this front's part of what is too much, the cheapest benefit per kB first.
+    // Own subscriptions give up this front's part of what is too much, the cheapest benefit per kB first. The
+    // last step, which that part does not fill, is taken by chance, as are those of the others who hear the
+    // same: together they give up what is too much, and this front takes them to have done so.
     void stepDown(Micros now, Sfu& s, const std::vector<SubId>& ids, double use) {
         double toFree = s.ownKb * (1 - kDropTo / use);
-        std::vector<SubId> changed;
+        const double others = std::max(0.0, use * linkKb(now, s) - s.ownKb) * (1 - kDropTo / use);
+        s.link.changes.push_back({now, 0, -others});
+        uplinks_[rackOf(s)].pipe.changes.push_back({now, 0, -others});
         while (toFree > 0) {
             std::optional<SubId> pick;
             double least = 1e18;
@@ -803,7 +795,9 @@
             }
             if (!pick) return;
             Sub& sub = subs_.at(*pick);
-            toFree -= kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1);
+            const double less = kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1);
+            if (toFree < std::uniform_real_distribution<double>(0, 1)(chance_) * less) return;
+            toFree -= less;
             retune(now, *pick, sub, sub.rung - 1);
         }
     }
