--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,9 +30,11 @@
 constexpr double kNearTie = 0.02;    // scores so near each other are settled by chance
 constexpr double kLinkTie = 0.3;   // how the link weighs beside the narrower of link and uplink, if none fits
 constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is throttled
-constexpr double kDropOver = 1.02;  // a link asked for more than this is relieved ...
-constexpr double kDropTo = 0.95;    // ... down to this: true rates wander by some tens of percent
-constexpr double kSpare = 0.8;      // a rise must leave 20% spare
+constexpr double kDropOver = 1.02;      // a link asked for more than this is relieved ...
+constexpr double kDropTo = 0.95;        // ... down to this: true rates wander by some tens of percent
+constexpr double kSpare = 0.8;          // a rise must leave 20% spare
+constexpr double kLeastFreeable = 0.2;  // part of all rates that can be given up, taken at least
+constexpr double kReliefTaken = 0.5;    // of what others can give up, so much is taken to be given at once
 constexpr Micros kDropPause = 10 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
 constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
@@ -756,13 +758,20 @@
                 up.kb *= 1 + kUplinkBack * seconds(kRound);
         }
         std::map<SfuId, std::vector<SubId>> mine;
+        double kbAll = 0, kbFree = 0;
         for (auto& [id, sub] : subs_) {
-            if (sub.state == State::Playing) mine[sub.at].push_back(id);
+            if (sub.state == State::Playing) {
+                mine[sub.at].push_back(id);
+                kbAll += kbOf(sub, sub.rung);
+                if (now - sub.changedAt >= kDropPause)
+                    kbFree += kbOf(sub, sub.rung) - kbOf(sub, floorOf(sub));
+            }
             if (sub.state == State::Joining && !sub.overdue && now - sub.joinedAt > patience()) {
                 sub.overdue = true;  // silence counts like a failure, long before a time-out says so
                 judge(now, sfus_[sub.at], kFailStep);
             }
         }
+        freeable_ = kbAll > 0 ? kbFree / kbAll : 1;
         for (auto& [at, ids] : mine) {
             const double use = knownAsked(now, sfus_[at]);
             if (use > kDropOver)
@@ -776,8 +785,10 @@
     // last step, which that part does not fill, is taken by chance, as are those of the others who hear the
     // same: together they give up what is too much, and this front takes them to have done so.
     void stepDown(Micros now, Sfu& s, const std::vector<SubId>& ids, double use) {
-        double toFree = s.ownKb * (1 - kDropTo / use);
-        const double others = std::max(0.0, use * linkKb(now, s) - s.ownKb) * (1 - kDropTo / use);
+        const double excess = 1 - kDropTo / use;
+        double toFree = s.ownKb * excess / std::max(kLeastFreeable, freeable_);
+        const double others =
+            std::max(0.0, use * linkKb(now, s) - s.ownKb) * std::min(excess, kReliefTaken * freeable_);
         s.link.changes.push_back({now, 0, -others});
         uplinks_[rackOf(s)].pipe.changes.push_back({now, 0, -others});
         while (toFree > 0) {
@@ -872,6 +883,7 @@
     std::deque<Micros> taken_, further_;
     Histogram setups_;
     double meanBenefit_ = 0, kbPerPlace_ = 0, fleetUse_ = kUseUntold;
+    double freeable_ = 1;  // part of own rates above the floor that may be given up now; others fare alike
     double takenInWarmUp_ = 0;  // requests, fading by that time
     Micros lastTakenAt_ = 0;
     bool slotOpen_ = false, listStale_ = false, handedOver_ = false;
