--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -372,7 +372,7 @@
     // what is known of the fleet, and never less than this front's own rates.
     double linkAsked(Micros now, const Sfu& s) const {
         const double kb = linkKb(now, s);
-        const double untold = std::max(std::min(fleetUse_, kUntoldMost), s.ownKb * fronts_ / kb);
+        const double untold = s.ownKb / kb + (1 - 1.0 / fronts_) * std::min(fleetUse_, kUntoldMost);
         double asked = untold;
         if (s.link.told) {
             const double trust = std::exp2(-seconds(now - s.link.at) / kUseHalfLife);
