--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -88,7 +88,6 @@
         if (budget) budget_ = *budget;
         for (const RoomType& r : rooms_) meanBenefit_ += r.benefit / static_cast<double>(rooms_.size());
         uplinks_.resize(static_cast<std::size_t>(fleet_.racks));
-        for (Uplink& u : uplinks_) u.kb = fleet_.uplinkKb;
         host_.wakeAfter(kRound, "sweep");
         if (fleet_.listAsked) host_.followList();
     }
@@ -118,7 +117,24 @@
         double places = 0;
         for (const auto& [id, s] : sfus_)
             if (s.standing != Standing::Off) places += placesOf(s);
-        if (places > 0 && kbPerPlace_ == 0) kbPerPlace_ = fleet_.linksKb / places;
+        if (places > 0 && kbPerPlace_ == 0) {
+            kbPerPlace_ = fleet_.linksKb / places;
+            sizeUplinks();
+        }
+    }
+
+    // Only the mean uplink is told. Uplinks are built for the links behind them, so each is taken to be that
+    // part of the mean; else all fronts would take the rack of the smallest links for the emptiest.
+    void sizeUplinks() {
+        std::vector<double> links(uplinks_.size(), 0);
+        double all = 0;
+        for (const auto& [id, s] : sfus_) {
+            links[rackOf(s)] += nominalKb(s);
+            all += nominalKb(s);
+        }
+        for (std::size_t rack = 0; rack < links.size(); ++rack)
+            uplinks_[rack].kb = uplinks_[rack].nominalKb =
+                fleet_.uplinkKb * links[rack] * static_cast<double>(links.size()) / std::max(1.0, all);
     }
 
     // The list can't be had now: the one held still applies, and it is asked for again. All fronts may have
@@ -307,7 +323,7 @@
 
     struct Uplink {
         Pipe pipe;
-        double kb = 0;
+        double kb = 0, nominalKb = 0;
         Micros shortAt = -1'000 * kSecond;
     };
 
@@ -348,10 +364,10 @@
     // ================= room =================
 
     // What a media server's link gives, as told; less while it is young, as its link is cold too.
-    double linkKb(Micros now, const Sfu& s) const {
-        const double told = fleet_.sizesTold ? fleet_.linkKbPerSize * s.size : kbPerPlace_ * placesOf(s);
-        return std::max(1.0, told * warmShare(now, s));
+    double nominalKb(const Sfu& s) const {
+        return fleet_.sizesTold ? fleet_.linkKbPerSize * s.size : kbPerPlace_ * placesOf(s);
     }
+    double linkKb(Micros now, const Sfu& s) const { return std::max(1.0, nominalKb(s) * warmShare(now, s)); }
 
     double warmShare(Micros now, const Sfu& s) const {
         const Micros since = std::max(s.startedAt, s.mayHaveRestartedAt);
@@ -452,7 +468,7 @@
             then +=
                 one.link.told ? kb * carried(one.link, kb, now - tidings_.late) : kb * linkAsked(now, one);
         }
-        up.kb = std::clamp(then / s.shortBy, 0.1 * fleet_.uplinkKb, up.kb);
+        up.kb = std::clamp(then / s.shortBy, 0.1 * up.nominalKb, up.kb);
     }
 
     // A note at set-up speaks of now, the others of a while ago.
@@ -754,7 +770,7 @@
             // A width learnt from a shortness fades while the uplink is used and nothing is short: quickly to
             // what was told, beyond it only if the uplink is nearly full by that.
             const double used = up.pipe.told ? 0 : uplinkAsked(now, rack);
-            if (now - up.shortAt > 3 * kSecond && used > (up.kb < fleet_.uplinkKb ? 0.5 : 0.9))
+            if (now - up.shortAt > 3 * kSecond && used > (up.kb < up.nominalKb ? 0.5 : 0.9))
                 up.kb *= 1 + kUplinkBack * seconds(kRound);
         }
         std::map<SfuId, std::vector<SubId>> mine;
