--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -43,7 +43,7 @@
 constexpr double kUseHalfLife = 8;  // seconds after which a told figure counts half
 constexpr double kUseUntold = 0.6;  // what a link of which nothing is known is taken to be asked
 constexpr double kUntoldMost =
-    0.6;  // and at most so: one join there tells, while a guess of full never would
+    0.9;  // and at most so: one join there tells, while a guess of full never would
 constexpr Micros kAnswerAge = 400'000;  // load figures in answers are about this old
 constexpr double kLinkClear = 0.92;     // a link asked for under so much of a shortness is not its cause
 constexpr double kNoisyShare = 0.4;     // part that a noisy figure in an answer moves the belief
