--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -640,12 +640,13 @@
                 }
             }
         }
-        // None fits: the lowest rung on the roomiest, unless even that would overfill and nothing there can
-        // step down.
+        // None fits: the lowest rung on the roomiest, unless even that would overfill and what plays there,
+        // most of it not this front's, can't step down: it is taken to lie on such rungs as this front's own.
         if (!chosen && fallback) {
             const Sfu& s = sfus_[*fallback];
             const double kb = kbOf(sub, floorOf(sub));
-            if (asked(now, s) + kb / linkKb(now, s) <= kOverfull || canFree(s, *fallback) >= kb)
+            if (asked(now, s) + kb / linkKb(now, s) <= kOverfull ||
+                freeable_ * asked(now, s) * linkKb(now, s) >= kb)
                 chosen = fallback;
         }
         if (chosen) {
@@ -659,15 +660,6 @@
             giveUp(now, id);
     }
 
-    double canFree(const Sfu& s, SfuId at) const {
-        if (s.ownKb <= 0) return 0;
-        double kb = 0;
-        for (const auto& [id, sub] : subs_)
-            if (sub.state == State::Playing && sub.at == at)
-                kb += kbOf(sub, sub.rung) - kbOf(sub, floorOf(sub));
-        return kb;
-    }
-
     bool holderMayComeFree(Micros now, const Sub& sub, Micros by) {
         return std::any_of(sfus_.begin(), sfus_.end(), [&](const auto& entry) {
             const Sfu& s = entry.second;
