--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -34,6 +34,7 @@
 constexpr double kDropTo = 0.95;        // ... down to this: true rates wander by some tens of percent
 constexpr double kSpare = 0.8;          // a rise must leave 20% spare
 constexpr double kLeastFreeable = 0.2;  // part of all rates that can be given up, taken at least
+constexpr double kNewValue = 0.02;      // part that a look at what plays moves the typical value of a step
 constexpr double kReliefTaken = 0.5;    // of what others can give up, so much is taken to be given at once
 constexpr Micros kDropPause = 10 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
@@ -766,11 +767,15 @@
                 up.kb *= 1 + kUplinkBack * seconds(kRound);
         }
         std::map<SfuId, std::vector<SubId>> mine;
-        double kbAll = 0, kbFree = 0;
+        double kbAll = 0, kbFree = 0, value = 0, steps = 0;
         for (auto& [id, sub] : subs_) {
             if (sub.state == State::Playing) {
                 mine[sub.at].push_back(id);
                 kbAll += kbOf(sub, sub.rung);
+                for (int rung = std::max(1, sub.rung); rung <= std::min(sub.rung + 1, topOf(sub)); ++rung) {
+                    value += stepValue(sub, rung);
+                    ++steps;
+                }
                 if (now - sub.changedAt >= kDropPause)
                     kbFree += kbOf(sub, sub.rung) - kbOf(sub, floorOf(sub));
             }
@@ -779,6 +784,7 @@
                 judge(now, sfus_[sub.at], kFailStep);
             }
         }
+        if (steps > 0) typicalValue_ += (value / steps - typicalValue_) * (typicalValue_ > 0 ? kNewValue : 1);
         freeable_ = kbAll > 0 ? kbFree / kbAll : 1;
         for (auto& [at, ids] : mine) {
             const double use = knownAsked(now, sfus_[at]);
@@ -805,8 +811,7 @@
             for (SubId id : ids) {
                 const Sub& sub = subs_.at(id);
                 if (sub.rung <= floorOf(sub) || now - sub.changedAt < kDropPause) continue;
-                const double cost = (earns(sub, sub.rung) - earns(sub, sub.rung - 1)) /
-                                    (kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1));
+                const double cost = stepValue(sub, sub.rung);
                 if (cost < least) {
                     least = cost;
                     pick = id;
@@ -815,7 +820,7 @@
             if (!pick) return;
             Sub& sub = subs_.at(*pick);
             const double less = kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1);
-            if (toFree < std::uniform_real_distribution<double>(0, 1)(chance_) * less) return;
+            if (toFree < less && toFree * typicalValue_ < drawn() * less * least) return;
             toFree -= less;
             retune(now, *pick, sub, sub.rung - 1);
         }
@@ -853,13 +858,18 @@
             if (!pick) return;
             Sub& sub = subs_.at(*pick);
             const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
-            const double drawn = std::uniform_real_distribution<double>(0, 1)(chance_);
-            if (part < drawn * more) return;
+            if (part < more && part * most < drawn() * more * typicalValue_) return;
             part -= more;
             retune(now, *pick, sub, sub.rung + 1);
         }
     }
 
+    // Benefit per kB of the step up to this rung.
+    double stepValue(const Sub& sub, int rung) const {
+        return (earns(sub, rung) - earns(sub, rung - 1)) / (kbOf(sub, rung) - kbOf(sub, rung - 1));
+    }
+    double drawn() { return std::uniform_real_distribution<double>(0, 1)(chance_); }
+
     double secondsLeft(Micros now, const Sub& sub) const {
         if (!sub.wish.watchSeconds) return kLikelyLeft;
         return std::max(0.0, *sub.wish.watchSeconds - seconds(now - sub.takenAt));
@@ -891,6 +901,7 @@
     std::deque<Micros> taken_, further_;
     Histogram setups_;
     double meanBenefit_ = 0, kbPerPlace_ = 0, fleetUse_ = kUseUntold;
+    double typicalValue_ = 0;  // benefit per kB of a step of own subscriptions; others are taken to be alike
     double freeable_ = 1;  // part of own rates above the floor that may be given up now; others fare alike
     double takenInWarmUp_ = 0;  // requests, fading by that time
     Micros lastTakenAt_ = 0;
