--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -66,7 +66,7 @@
 constexpr Micros kLeastPatience = 250'000;
 constexpr Micros kAskAgain = 500'000;
 constexpr double kColdPart = 0.6;  // of the pace that the rules allow a cold media server
-constexpr double kCrowding = 8;  // a title sought by many takes its holders this many times their usual joins
+constexpr double kCrowding = 2;  // a title sought by many takes its holders this many times their usual joins
 
 }  // namespace
 
