--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,7 +32,7 @@
 constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is throttled
 constexpr double kDropOver = 1.02;      // a link asked for more than this is relieved ...
 constexpr double kDropTo = 0.95;        // ... down to this: true rates wander by some tens of percent
-constexpr double kSpare = 0.9;      // a rise must leave 10% spare
+constexpr double kSpare = 0.8;          // a rise must leave 20% spare
 constexpr double kLeastFreeable = 0.2;  // part of all rates that can be given up, taken at least
 constexpr double kNewValue = 0.02;      // part that a look at what plays moves the typical value of a step
 constexpr double kReliefTaken = 0.5;    // of what others can give up, so much is taken to be given at once
@@ -835,10 +835,17 @@
         if (!s.link.told || s.link.at <= s.risenAt) return;
         s.risenAt = s.link.at;
         const Uplink& up = uplinks_[rackOf(s)];
+        // The room of the uplink is for all behind it: own rates count against what is asked of the whole.
+        const auto partOf = [&](double room, double askedKb) {
+            return room * std::min(1.0, s.ownKb / std::max(1.0, askedKb));
+        };
         const double use = linkAsked(now, s), kb = linkKb(now, s);
-        double room = (kSpare - use) * kb;
-        if (up.kb > 0) room = std::min(room, (kSpare - uplinkAsked(now, rackOf(s))) * up.kb);
-        double part = room * std::min(1.0, s.ownKb / std::max(1.0, use * kb));
+        double room = (kSpare - use) * kb, part = partOf(room, use * kb);
+        if (up.kb > 0) {
+            const double rackUse = uplinkAsked(now, rackOf(s));
+            room = std::min(room, (kSpare - rackUse) * up.kb);
+            part = std::min(part, partOf((kSpare - rackUse) * up.kb, rackUse * up.kb));
+        }
         for (;;) {
             std::optional<SubId> pick;
             double most = 0;
