--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,7 +32,7 @@
 constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is throttled
 constexpr double kDropOver = 1.02;      // a link asked for more than this is relieved ...
 constexpr double kDropTo = 0.95;        // ... down to this: true rates wander by some tens of percent
-constexpr double kSpare = 0.9;      // a rise must leave 10% spare
+constexpr double kSpare = 0.8;          // a rise must leave 20% spare
 constexpr double kLeastFreeable = 0.2;  // part of all rates that can be given up, taken at least
 constexpr double kNewValue = 0.02;      // part that a look at what plays moves the typical value of a step
 constexpr double kReliefTaken = 0.5;    // of what others can give up, so much is taken to be given at once
@@ -641,14 +641,10 @@
                 }
             }
         }
-        // None fits: the lowest rung on the roomiest, unless even that would overfill and what plays there,
-        // most of it not this front's, can't step down: it is taken to lie on such rungs as this front's own.
+        // None fits: the lowest rung on the roomiest, unless even that would overfill.
         if (!chosen && fallback) {
             const Sfu& s = sfus_[*fallback];
-            const double kb = kbOf(sub, floorOf(sub));
-            if (asked(now, s) + kb / linkKb(now, s) <= kOverfull ||
-                freeable_ * asked(now, s) * linkKb(now, s) >= kb)
-                chosen = fallback;
+            if (asked(now, s) + kbOf(sub, floorOf(sub)) / linkKb(now, s) <= kOverfull) chosen = fallback;
         }
         if (chosen) {
             sendJoin(now, id, sub, *chosen, chosenRung);
