--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -200,19 +200,14 @@
         const bool suspected = it != subs_.end() && it->second.overdue;
         switch (end) {
             case JoinEnd::Error:
-                judge(now, s, kFailStep);
-                break;
             case JoinEnd::Reset:
-                mayHaveRestarted(now, s);
-                judge(now, s, kFailStep);
-                break;
             case JoinEnd::NoConnection:
-                mayHaveRestarted(now, s);
-                judge(now, s, kFailStep);
-                break;
             case JoinEnd::TimedOut:
-                mayHaveRestarted(now, s);
                 if (!suspected) judge(now, s, kFailStep);
+                // A break of what plays, or nobody there, says that the process is lost. An answer that did
+                // not come may be no more than that: one alone must not make a whole fleet count as cold.
+                if (played || end == JoinEnd::NoConnection || s.evidence >= kVerdict)
+                    mayHaveRestarted(now, s);
                 break;
             case JoinEnd::Full:
                 s.fullUntil = now + kSecond;
@@ -724,14 +719,13 @@
     // ================= health =================
 
     void judge(Micros now, Sfu& s, double step) {
-        const bool wasOut = s.evidence >= kVerdict;
         s.evidence = std::clamp(s.evidence + step, -2.0, kMostEvidence);
         if (s.evidence < kVerdict) {
             s.pause = 0;
             return;
         }
-        if (step > 0) {
-            s.pause = wasOut ? std::min(2 * s.pause, kLongestPause) : kFirstPause;
+        if (step > 0 && now >= s.askAgainAt) {  // the breaks of one loss come together and count once
+            s.pause = std::clamp(2 * s.pause, kFirstPause, kLongestPause);
             s.askAgainAt = now + s.pause;
         }
     }
