--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -393,24 +393,20 @@
         return std::max(asked, s.ownKb / kb);
     }
 
-    double rackAskedKb(Micros now, std::size_t rack) const {
-        double kb = 0;
+    // The use of all uplinks, in one pass: with hundreds of servers a sum for each of them would cost more
+    // than all else.
+    std::vector<double> uplinksAsked(Micros now) const {
+        std::vector<double> use(uplinks_.size(), 0);
         for (const auto& [id, s] : sfus_)
-            if (s.standing != Standing::Off && rackOf(s) == rack) kb += linkAsked(now, s) * linkKb(now, s);
-        return kb;
-    }
-
-    double uplinkAsked(Micros now, std::size_t rack) const {
-        const Uplink& up = uplinks_[rack];
-        if (up.kb <= 0) return 0;
-        const double summed = rackAskedKb(now, rack) / up.kb;
-        if (!up.pipe.told) return summed;
-        const double trust = std::exp2(-seconds(now - up.pipe.at) / kUseHalfLife);
-        return trust * carried(up.pipe, up.kb) + (1 - trust) * summed;
-    }
-
-    double asked(Micros now, const Sfu& s) const {
-        return std::max(linkAsked(now, s), uplinkAsked(now, rackOf(s)));
+            if (s.standing != Standing::Off) use[rackOf(s)] += linkAsked(now, s) * linkKb(now, s);
+        for (std::size_t rack = 0; rack < use.size(); ++rack) {
+            const Uplink& up = uplinks_[rack];
+            use[rack] = up.kb > 0 ? use[rack] / up.kb : 0;
+            if (up.kb <= 0 || !up.pipe.told) continue;
+            const double trust = std::exp2(-seconds(now - up.pipe.at) / kUseHalfLife);
+            use[rack] = trust * carried(up.pipe, up.kb) + (1 - trust) * use[rack];
+        }
+        return use;
     }
 
     // What is known to be asked, for drops: a change of rung is paid for, so no guess about others causes
@@ -599,14 +595,15 @@
         auto found = subs_.find(id);
         if (found == subs_.end() || found->second.state != State::Waiting) return;
         Sub& sub = found->second;
-        double best = 1e18, roomiest = 1e18;
+        double best = 1e18, roomiest = 1e18, askedThere = 0;
+        const std::vector<double> uplinks = uplinksAsked(now);
         std::optional<SfuId> chosen, fallback;
         int chosenRung = floorOf(sub);
         const double middle = ladder_.kb[ladder_.kb.size() / 2];
         for (auto& [sfuId, s] : sfus_) {
             if (!mayJoin(now, sub, sfuId, s, now) || setAside(now, s) || now < s.fullUntil) continue;
             if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
-            const double link = linkAsked(now, s), uplink = uplinkAsked(now, rackOf(s));
+            const double link = linkAsked(now, s), uplink = uplinks[rackOf(s)];
             // Of most media servers a front knows nothing, and all fronts would take the first of those
             // alike.
             const double doubt = kDoubtWeight * std::max(0.0, s.evidence) +
@@ -618,6 +615,7 @@
             const double crowd = std::max(link, uplink) + kLinkTie * link + doubt;
             if (crowd < roomiest) {
                 roomiest = crowd;
+                askedThere = std::max(link, uplink) + kbOf(sub, floorOf(sub)) / linkKb(now, s);
                 fallback = sfuId;
             }
             const double room = (1 - link) * linkKb(now, s);
@@ -637,10 +635,7 @@
             }
         }
         // None fits: the lowest rung on the roomiest, unless even that would overfill.
-        if (!chosen && fallback) {
-            const Sfu& s = sfus_[*fallback];
-            if (asked(now, s) + kbOf(sub, floorOf(sub)) / linkKb(now, s) <= kOverfull) chosen = fallback;
-        }
+        if (!chosen && fallback && askedThere <= kOverfull) chosen = fallback;
         if (chosen) {
             sendJoin(now, id, sub, *chosen, chosenRung);
             return;
@@ -746,13 +741,14 @@
             ++count;
         }
         fleetUse_ = count > 0 ? sum / count : kUseUntold;
+        const std::vector<double> uplinks = uplinksAsked(now);
         for (std::size_t rack = 0; rack < uplinks_.size(); ++rack) {
             Uplink& up = uplinks_[rack];
             while (!up.pipe.changes.empty() && up.pipe.changes.front().at < now - 20 * kSecond)
                 up.pipe.changes.pop_front();
             // A width learnt from a shortness fades while the uplink is used and nothing is short: quickly to
             // what was told, beyond it only if the uplink is nearly full by that.
-            const double used = up.pipe.told ? 0 : uplinkAsked(now, rack);
+            const double used = up.pipe.told ? 0 : uplinks[rack];
             if (now - up.shortAt > 3 * kSecond && used > (up.kb < up.nominalKb ? 0.5 : 0.9))
                 up.kb *= 1 + kUplinkBack * seconds(kRound);
         }
@@ -781,7 +777,7 @@
             if (use > kDropOver)
                 stepDown(now, sfus_[at], ids, use);
             else
-                stepUp(now, sfus_[at], ids);
+                stepUp(now, sfus_[at], ids, uplinks[rackOf(sfus_[at])]);
         }
     }
 
@@ -820,7 +816,7 @@
     // play there hear the same figure at the same time: each takes the part of the room that its own rates
     // are of what is asked, and the last step, which that part does not hold, by chance. Then it waits for
     // the next figure.
-    void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids) {
+    void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids, double rackUse) {
         if (now - s.shortAt < kQuiet || s.evidence >= kVerdict || s.standing == Standing::Off) return;
         if (!s.link.told || s.link.at <= s.risenAt) return;
         s.risenAt = s.link.at;
@@ -832,7 +828,6 @@
         const double use = linkAsked(now, s), kb = linkKb(now, s);
         double room = (kSpare - use) * kb, part = partOf(room, use * kb);
         if (up.kb > 0) {
-            const double rackUse = uplinkAsked(now, rackOf(s));
             room = std::min(room, (kSpare - rackUse) * up.kb);
             part = std::min(part, partOf((kSpare - rackUse) * up.kb, rackUse * up.kb));
         }
