--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -1,6 +1,8 @@
 // The module without the bench.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "rig.hpp"
 
 namespace valekeel {
@@ -132,5 +134,97 @@
     EXPECT_LE(rig.joins.size(), before + 3);  // 1.5 s at 60% of 2 a second
 }
 
+// Hundreds of fronts, each with a first join free, pushed a fresh server over (incidents i846e38, iff1dfc).
+// All of them want it here, over and over; summed they must keep the rules' pace in each window, the first
+// included.
+TEST(Cold, HundredsOfFrontsTogetherKeepThePace) {
+    for (const int fronts : {2, 300}) {
+        std::vector<std::unique_ptr<Rig>> all;
+        std::vector<Micros> joins;
+        for (int i = 0; i < fronts; ++i) {
+            all.push_back(
+                std::make_unique<Rig>(Site{.sfus = 1, .fronts = fronts, .seed = 17u + unsigned(i)}));
+            all[std::size_t(i)]->logic->listChanged(all[0]->now,
+                                                    std::vector{Rig::entry(0, Standing::On, all[0]->now)});
+        }
+        for (unsigned id = 1; id <= 50; ++id)
+            for (auto& rig : all) {
+                rig->subscribe(id);
+                rig->run(kSecond / 5);
+            }
+        for (const auto& rig : all)
+            for (const Sent& s : rig->joins) joins.push_back(s.when);
+        std::sort(joins.begin(), joins.end());
+        EXPECT_GE(joins.size(), 4u) << "a fresh server is starved";
+        const double allowed = 2.5 * .4 * 24 / 12 * 3;  // in any 3 s, as it starts
+        for (std::size_t first = 0; first < joins.size(); ++first) {
+            std::size_t last = first;
+            while (last + 1 < joins.size() && joins[last + 1] < joins[first] + 3 * kSecond) ++last;
+            EXPECT_LE(static_cast<double>(last - first + 1), 1.5 * allowed) << fronts << " fronts";
+        }
+    }
+}
+
+// All fronts of a large fleet took the lowest id of those that they knew nothing of.
+TEST(Room, FrontsThatKnowNothingSpreadOverTheServers) {
+    std::map<SfuId, int> taken;
+    for (unsigned i = 0; i < 100; ++i) {
+        Rig rig(Site{.sfus = 20, .fronts = 100, .seed = i + 1});
+        rig.subscribe(1);
+        rig.run(kSecond / 10);
+        ++taken[rig.last(1).at];
+    }
+    EXPECT_GE(taken.size(), 15u);
+    for (const auto& [at, n] : taken) EXPECT_LE(n, 20) << at.v;
+}
+
+// Room over the number of fronts let nobody rise among hundreds; own rates over all that is asked do.
+TEST(Room, ALoneSubscriptionOnAnEmptyLinkRisesHoweverManyFrontsThereAre) {
+    Rig rig(Site{.sfus = 4, .fronts = 300});
+    Wish w;
+    w.title = TitleId{"t"};
+    w.giveUpAt = rig.now;
+    w.holders = 4;
+    w.maxRung = 2;
+    rig.logic->handedOver(rig.now, SubId{1}, w, SfuId{100});
+    for (int n = 0; n < 6; ++n) {
+        rig.run(7 * kSecond);
+        const double rate[] = {100, 300, 900};
+        rig.logic->linkUse(rig.now, SubId{1}, SfuId{100}, rate[rig.rungs[SubId{1}]] / 10'000);
+    }
+    rig.run(kSecond);
+    EXPECT_EQ(rig.rungs[SubId{1}], 2);
+}
+
+// A link over by a few percent made every front that heard of it step down, the whole fleet at once.
+TEST(Room, ALittleTooMuchMakesFewOfManyFrontsStepDown) {
+    int drops = 0;
+    for (unsigned i = 0; i < 100; ++i) {
+        Rig rig(Site{.sfus = 4, .fronts = 100, .seed = i + 1});
+        Wish w;
+        w.title = TitleId{"t"};
+        w.holders = 4;
+        w.maxRung = 2;
+        rig.logic->handedOver(rig.now, SubId{1}, w, SfuId{100});
+        rig.logic->rungInForce(rig.now, SubId{1}, 2);
+        rig.run(11 * kSecond);
+        rig.logic->linkUse(rig.now, SubId{1}, SfuId{100}, 1.1);
+        rig.run(2 * kSecond);
+        drops += rig.rungs.count(SubId{1}) && rig.rungs[SubId{1}] == 1;
+    }
+    EXPECT_GE(drops, 5);
+    EXPECT_LE(drops, 50);
+}
+
+// Answers that get lost are no restart: with most servers dropping some, viewers must still find a place.
+TEST(Health, OneLostAnswerDoesNotMakeAServerCountAsCold) {
+    Rig rig(Site{.sfus = 1, .fronts = 300});
+    rig.subscribe(1);
+    rig.run(kSecond / 10);
+    rig.end(1, JoinEnd::Reset);
+    rig.run(kSecond / 10);
+    ASSERT_EQ(rig.joins.size(), 2u) << "tried again at once, with no cold pace";
+}
+
 }  // namespace
 }  // namespace valekeel
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -26,6 +26,7 @@
     Micros launched = 0;
     bool stale = false;
     bool listAsked = false;
+    unsigned seed = 11;
 };
 
 struct Sent {
@@ -43,7 +44,7 @@
         const RoomType other{"other", 800'000, 2, false, false, true, 0, 1.4, 0, 2, 0};
         rooms = {room, other};
         logic = std::make_unique<Logic>(
-            *this, now, 11, s.fronts, Ladder{{100, 300, 900}, {.3, .7, 1}, 8, .5}, rooms,
+            *this, now, s.seed, s.fronts, Ladder{{100, 300, 900}, {.3, .7, 1}, 8, .5}, rooms,
             Fleet{s.sfus, 2, 10'000.0 * s.sfus, 10'000, 10'000.0 * s.sfus / 2, true, s.listAsked, {24}},
             ColdTerms{12 * kSecond, .4, 2.5, 3 * kSecond}, s.budget ? &*s.budget : nullptr,
             Tidings{kSecond, s.every}, Allowed{3, s.comeBack, kSecond / 2});
