--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,12 +33,13 @@
 constexpr double kDropOver = 1.02;      // a link asked for more than this is relieved ...
 constexpr double kDropTo = 0.95;        // ... down to this: true rates wander by some tens of percent
 constexpr double kSpare = 0.8;          // a rise must leave 20% spare
-constexpr double kLeastFreeable = 0.2;  // part of all rates that can be given up, taken at least
+constexpr double kLeastFreeable = 0.5;  // part of all rates that can be given up, taken at least
 constexpr double kNewValue = 0.02;      // part that a look at what plays moves the typical value of a step
 constexpr double kReliefTaken = 0.5;    // of what others can give up, so much is taken to be given at once
 constexpr Micros kDropPause = 10 * kSecond;
 constexpr Micros kQuiet = 6 * kSecond;
-constexpr double kEarnBack = 4;  // a rise must earn the switch this many times over
+constexpr double kRiseMore = 1.5;  // times its part of the room: some of those that play there can't rise
+constexpr double kEarnBack = 4;    // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
 constexpr double kUseHalfLife = 8;  // seconds after which a told figure counts half
@@ -823,7 +824,7 @@
         const Uplink& up = uplinks_[rackOf(s)];
         // The room of the uplink is for all behind it: own rates count against what is asked of the whole.
         const auto partOf = [&](double room, double askedKb) {
-            return room * std::min(1.0, s.ownKb / std::max(1.0, askedKb));
+            return room * std::min(1.0, kRiseMore * s.ownKb / std::max(1.0, askedKb));
         };
         const double use = linkAsked(now, s), kb = linkKb(now, s);
         double room = (kSpare - use) * kb, part = partOf(room, use * kb);
