--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -188,7 +188,6 @@
         // warm-up.
         Sfu& s = sfus_[at];
         if (s.evidence >= kVerdict && s.mayHaveRestartedAt > s.startedAt) mayHaveRestarted(now, s);
-        sfus_[at].fullPause = 0;
         judge(now, sfus_[at], kGoodStep);
     }
 
@@ -335,7 +334,7 @@
         double evidence = 0;  // of the sequential test
         Micros pause = 0, askAgainAt = 0;
         double shortBy = 0;  // asked over given, by the last short note
-        Micros risenAt = 0, fullPause = 0, fullUntil = 0, shortAt = -1'000 * kSecond;
+        Micros risenAt = 0, fullUntil = 0, shortAt = -1'000 * kSecond;
         Micros lastJoinAt = -1'000 * kSecond;
         Micros coldSeenAt = 0;  // when this front learnt that it may be cold
         double phase = 0;       // drawn then: where its own turn lies among those of all fronts
