net and http: epoll, timer wheel and HTTP/1.1 behind one seam

Need: the program speaks to players and boxes from one thread, and must later run on a virtual clock. Change: src/net is the only package with socket and clock headers (streams, listeners, timers on a hierarchical wheel, signals, child processes); src/http feeds Boost.Beast's parser from own buffers and bounds heads, fields, targets, bodies, unsent bytes, idle, slow and stalled connections by named limits.

--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,187 @@
+#include "http/client.hpp"
+
+#include <array>
+
+namespace valekeel::http {
+
+Connection::Connection(net::Net& net, const net::Endpoint& to, const WireLimits& limits, Micros within)
+    : net_(net), limits_(limits), connecting_(net, [this] { fail(Failed::NoConnection); }) {
+    stream_ = net_.connect(to, *this);
+    connecting_.after(within);
+    idleSince_ = net.now();
+}
+
+Connection::~Connection() {
+    *alive_ = false;
+}
+
+void Connection::fetch(std::string head, bool headOnly, FetchUser& user) {
+    user_ = &user;
+    ++fetches_;
+    out_ = std::move(head);
+    wroteAny_ = gotAny_ = headTold_ = paused_ = false;
+    parser_ = std::make_unique<Parser>(Parser::Kind::Response, limits_, static_cast<ParseUser&>(*this));
+    if (headOnly) parser_->answersHead();
+    if (connected_) flush();
+}
+
+void Connection::connected() {
+    connecting_.cancel();
+    connected_ = true;
+    flush();
+}
+
+void Connection::connectFailed(net::NoStream why) {
+    fail(why == net::NoStream::Refused ? Failed::Refused : Failed::NoConnection);
+}
+
+void Connection::writable() {
+    if (connected_) flush();
+}
+
+void Connection::flush() {
+    if (!stream_ || out_.empty()) return;
+    const net::Moved put = stream_->write(out_);
+    if (put.bytes > 0) wroteAny_ = true;
+    out_.erase(0, put.bytes);
+    if (put.then == net::Moved::Then::Broken) {
+        mayRead_ = true;  // an answer may have come before the peer broke (a turn-away, say): read that first
+        work();
+    }
+}
+
+void Connection::readable() {
+    mayRead_ = true;
+    work();
+}
+
+void Connection::pause() {
+    paused_ = true;
+}
+
+void Connection::resume() {
+    if (!paused_) return;
+    paused_ = false;
+    work();
+}
+
+// What was parsed is told after the parser has returned: its user may delete this object, or ask anew.
+bool Connection::tell() {
+    const auto alive = alive_;
+    if (parser_->headDone() && !headTold_) {
+        headTold_ = true;
+        user_->answered(parser_->response());
+        if (!*alive) return false;
+    }
+    if (!pieces_.empty() && user_) {
+        std::string pieces;
+        pieces.swap(pieces_);
+        user_->piece(pieces);
+        if (!*alive) return false;
+        if (pieces_.empty()) {
+            pieces.clear();
+            pieces.swap(pieces_);  // keeps its room for the next
+        }
+    }
+    return true;
+}
+
+void Connection::finished(bool kept) {
+    idleSince_ = net_.now();
+    parser_.reset();
+    std::string().swap(pieces_);
+    if (!kept) {
+        ended_ = true;
+        stream_.reset();
+    }
+    if (FetchUser* user = std::exchange(user_, nullptr)) user->fetched(kept);
+}
+
+void Connection::work() {
+    if (working_ || paused_) return;
+    const auto alive = alive_;
+    working_ = true;
+    std::array<char, 65'536> buffer;
+    while (stream_ && mayRead_ && !paused_) {
+        const net::Moved got = stream_->read(buffer);
+        if (got.bytes > 0) {
+            if (!user_) {  // bytes that nobody asked for: this connection can't be trusted any more
+                ended_ = unasked_ = true;
+                stream_.reset();
+                break;
+            }
+            gotAny_ = true;
+            in_.append(buffer.data(), got.bytes);
+            const Parser::Fed fed = parser_->feed(in_);
+            in_.erase(0, fed.used);
+            if (in_.empty()) std::string().swap(in_);
+            if (!tell()) return;
+            if (fed.badStatus || in_.size() > limits_.headBytes) {
+                fail(Failed::BadAnswer);
+                if (!*alive) return;
+                break;
+            }
+            if (user_ && parser_ && parser_->done()) {
+                if (parser_->response().status / 100 == 1) {  // interim: the answer is still to come
+                    parser_ = std::make_unique<Parser>(Parser::Kind::Response, limits_,
+                                                       static_cast<ParseUser&>(*this));
+                    headTold_ = false;
+                    continue;
+                }
+                const bool kept = parser_->keepsConnection() && in_.empty() && out_.empty();
+                working_ = false;
+                finished(kept);
+                if (!*alive) return;
+                working_ = true;
+            }
+            continue;
+        }
+        mayRead_ = false;
+        if (got.then == net::Moved::Then::Again) break;
+        if (!user_) {
+            ended_ = true;
+            stream_.reset();
+            break;
+        }
+        if (got.then == net::Moved::Then::Ended &&
+            parser_->ended()) {  // an answer that ends with the connection
+            if (!tell()) return;
+            working_ = false;
+            finished(false);
+            return;
+        }
+        fail(gotAny_ ? Failed::BrokenAnswer : wroteAny_ ? Failed::BrokenOut : Failed::NeverWritten);
+        if (!*alive) return;
+    }
+    working_ = false;
+}
+
+void Connection::fail(Failed how) {
+    connecting_.cancel();
+    ended_ = true;
+    stream_.reset();
+    if (FetchUser* user = std::exchange(user_, nullptr)) user->failed(how);
+}
+
+std::string requestBytes(std::string_view method, std::string_view target, const net::Endpoint& host,
+                         const Fields& fields, std::string_view body) {
+    std::string out(method);
+    out += ' ';
+    for (const char c : target) {
+        const auto byte = static_cast<unsigned char>(c);
+        out += byte <= ' ' || byte == 127 ? '_' : c;
+    }
+    out += " HTTP/1.1\r\nHost: " + net::text(host) + "\r\n";
+    for (const Field& f : fields.all()) {
+        out += f.name;
+        out += ": ";
+        for (const char c : f.value) out += c == '\r' || c == '\n' || c == '\0' ? ' ' : c;
+        out += "\r\n";
+    }
+    if (!body.empty()) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    out += "\r\n";
+    out += body;
+    return out;
+}
+
+}  // namespace valekeel::http
--- /dev/null
+++ b/src/http/client.hpp
@@ -0,0 +1,86 @@
+// The asking side of HTTP/1.1: one connection, one request out at a time, answers streamed with
+// back-pressure. Which connection to use, and whether to keep it, is for others to say.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "http/message.hpp"
+#include "http/parse.hpp"
+#include "net/net.hpp"
+
+namespace valekeel::http {
+
+// How far a fetch had come when it failed: what that proves is for the caller's own table to say.
+enum class Failed {
+    Refused,       // nobody listens there
+    NoConnection,  // no route, no descriptor, or not connected in time
+    NeverWritten,  // connected, and broken before a byte of the request was handed to the kernel
+    BrokenOut,     // broken after bytes went out, before any of the answer
+    BrokenAnswer,  // the answer was cut short
+    BadAnswer,     // the answer was no HTTP, or over a limit
+};
+
+class FetchUser {
+  public:
+    virtual ~FetchUser() = default;
+    virtual void answered(const ResponseHead&) = 0;
+    virtual void piece(std::string_view) = 0;
+    // The connection may be used again where `kept`. It may be deleted within either of these.
+    virtual void fetched(bool kept) = 0;
+    virtual void failed(Failed) = 0;
+};
+
+class Connection final : net::StreamUser, ParseUser {
+  public:
+    // Connects at once; the first request may be handed over before it stands.
+    Connection(net::Net&, const net::Endpoint&, const WireLimits&, Micros connectWithin);
+    ~Connection() override;
+
+    // `head` is the request as it goes out, body included. Not while another is out.
+    void fetch(std::string head, bool headOnly, FetchUser&);
+    void pause();  // no more pieces are wanted now: the peer is made to wait
+    void resume();
+    bool idle() const { return !user_ && stream_ && !ended_; }
+    bool used() const { return fetches_ > 1; }  // the request out now is not its first
+    Micros idleSince() const { return idleSince_; }
+    bool wroteAny() const { return wroteAny_; }
+    // The peer closed it while nothing was out.
+    bool lost() const { return ended_ || !stream_; }
+    // It sent bytes that nobody had asked for: a second answer, say.
+    bool spokeUnasked() const { return unasked_; }
+
+  private:
+    void connected() override;
+    void connectFailed(net::NoStream) override;
+    void readable() override;
+    void writable() override;
+    void headParsed() override {}
+    void bodyParsed(std::string_view piece) override { pieces_ += piece; }
+    void endParsed() override {}
+    void flush();
+    void work();
+    bool tell();  // false once this object is gone
+    void finished(bool kept);
+    void fail(Failed);
+
+    net::Net& net_;
+    WireLimits limits_;
+    std::unique_ptr<net::Stream> stream_;
+    net::Timer connecting_;
+    std::unique_ptr<Parser> parser_;
+    std::string out_, in_, pieces_;
+    FetchUser* user_ = nullptr;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    int fetches_ = 0;
+    Micros idleSince_ = 0;
+    bool connected_ = false, wroteAny_ = false, gotAny_ = false, mayRead_ = false, paused_ = false;
+    bool headTold_ = false, ended_ = false, working_ = false, unasked_ = false;
+};
+
+// A request as bytes. Control characters in values are replaced by spaces, so nothing of a caller's can
+// end a line.
+std::string requestBytes(std::string_view method, std::string_view target, const net::Endpoint& host,
+                         const Fields&, std::string_view body = {});
+
+}  // namespace valekeel::http
--- /dev/null
+++ b/src/net/net.hpp
@@ -0,0 +1,103 @@
+// The one seam to the outside: clock, timers, streams, chance and signals. Two kinds stand behind it: sockets
+// under epoll (net/epoll.hpp) and, for rehearsal, a virtual one. No other package includes a socket or clock
+// header. Everything is called from one thread.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "model/ids.hpp"
+#include "net/address.hpp"
+#include "net/wheel.hpp"
+
+namespace valekeel::net {
+
+struct Moved {
+    enum class Then {
+        More,    // it may go on at once
+        Again,   // wait for readable() or writable()
+        Ended,   // the peer has finished writing
+        Broken,  // reset, or never connected; nothing more comes
+    };
+    std::size_t bytes = 0;
+    Then then = Then::More;
+};
+
+// How a connect ended that did not succeed.
+enum class NoStream { Refused, Unreachable, OutOfDescriptors };
+
+// Called edge by edge: after readable() one must read until Again, or remember that more may lie there.
+// Whatever is called may delete the stream.
+class StreamUser {
+  public:
+    virtual ~StreamUser() = default;
+    virtual void connected() {}
+    virtual void connectFailed(NoStream) {}
+    virtual void readable() = 0;
+    virtual void writable() = 0;
+};
+
+// One byte stream; deleting it closes it.
+class Stream {
+  public:
+    virtual ~Stream() = default;
+    virtual Moved read(std::span<char>) = 0;
+    virtual Moved write(std::string_view) = 0;
+    virtual void finishWriting() = 0;  // half-close: the peer reads to the end
+    virtual void reset() = 0;          // the peer sees a reset
+    virtual Endpoint peer() const = 0;
+    virtual void handTo(StreamUser&) = 0;
+};
+
+class ListenerUser {
+  public:
+    virtual ~ListenerUser() = default;
+    virtual void accepted(std::unique_ptr<Stream>) = 0;  // handTo() must be called before it returns
+};
+
+class Listener {
+  public:
+    virtual ~Listener() = default;
+    virtual Endpoint at() const = 0;
+};
+
+class Net {
+  public:
+    virtual ~Net() = default;
+    virtual Micros now() const = 0;      // never goes back; of one turn of the loop
+    virtual Micros wallNow() const = 0;  // since 1970, for what other machines say
+    virtual Wheel& wheel() = 0;
+    // Fails later, through connectFailed(); never at once.
+    virtual std::unique_ptr<Stream> connect(const Endpoint&, StreamUser&) = 0;
+    // Throws std::runtime_error, naming the address, if it can't be had.
+    virtual std::unique_ptr<Listener> listen(const Endpoint&, ListenerUser&) = 0;
+    virtual std::uint64_t draw() = 0;  // for ids; decisions have generators of their own
+};
+
+// A timer belongs to the object that set it and dies with it.
+class Timer : private WheelNode {
+  public:
+    Timer(Net& net, std::function<void()> due) : net_(net), due_(std::move(due)) {}
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+    ~Timer() { cancel(); }
+    void at(Micros when) { net_.wheel().add(*this, when); }
+    void after(Micros wait) { at(net_.now() + wait); }
+    void cancel() {
+        if (linked()) net_.wheel().remove(*this);
+    }
+    bool isSet() const { return linked(); }
+    // By the loop alone, of a node that the wheel handed out.
+    static void fire(WheelNode& node) { static_cast<Timer&>(node).due_(); }
+
+  private:
+    Net& net_;
+    std::function<void()> due_;
+};
+
+}  // namespace valekeel::net
