hints, hls, settings: CMCD, CMSD, RFC 8941, playlists and a KDL 2.0 reader

Need: hints both ways by the public specifications, playlists that can carry a change of rung, and settings that are checked whole with file, line and column. Change: readers and writers without I/O; a broken hint is dropped with its reason counted and the rest used; unknown settings are refused with the nearest known name.

--- /dev/null
+++ b/src/hints/cmsd.cpp
@@ -0,0 +1,108 @@
+#include "hints/cmsd.hpp"
+
+namespace valekeel::hints {
+namespace {
+
+std::optional<std::int64_t> wholeOf(const Bare* value) {
+    if (!value) return std::nullopt;
+    if (const auto* i = std::get_if<std::int64_t>(value); i && *i >= 0) return *i;
+    if (const auto* d = std::get_if<Decimal>(value); d && d->thousandths >= 0) return d->thousandths / 1000;
+    return std::nullopt;
+}
+std::optional<std::string> wordOf(const Bare* value) {
+    if (!value) return std::nullopt;
+    if (const auto* t = std::get_if<Token>(value)) return t->text;
+    return std::nullopt;
+}
+std::optional<std::string> textOf(const Bare* value) {
+    if (!value) return std::nullopt;
+    if (const auto* s = std::get_if<std::string>(value)) return *s;
+    return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<CmsdStatic> parseCmsdStatic(std::string_view text) {
+    const auto dictionary = parseDictionary(text);
+    if (!dictionary) return std::nullopt;
+    const auto bare = [&](std::string_view key) -> const Bare* {
+        const Member* member = dictionary->find(key);
+        const Item* item = member ? std::get_if<Item>(member) : nullptr;
+        return item ? &item->value : nullptr;
+    };
+    CmsdStatic out;
+    out.n = textOf(bare("n"));
+    out.at = wholeOf(bare("at"));
+    out.br = wholeOf(bare("br"));
+    out.d = wholeOf(bare("d"));
+    out.ht = wholeOf(bare("ht"));
+    out.ot = wordOf(bare("ot"));
+    out.sf = wordOf(bare("sf"));
+    out.st = wordOf(bare("st"));
+    out.v = wholeOf(bare("v"));
+    return out;
+}
+
+std::vector<CmsdEntry> parseCmsdDynamic(std::string_view text, bool* broken) {
+    std::vector<CmsdEntry> out;
+    const auto list = parseList(text);
+    if (broken) *broken = !list;
+    if (!list) return out;
+    for (const Member& member : *list) {
+        const Item* item = std::get_if<Item>(&member);
+        if (!item) continue;
+        const auto name = textOf(&item->value);
+        if (!name) continue;
+        CmsdEntry entry;
+        entry.by = *name;
+        entry.etp = wholeOf(item->params.find("etp"));
+        entry.mb = wholeOf(item->params.find("mb"));
+        entry.rd = wholeOf(item->params.find("rd"));
+        entry.rtt = wholeOf(item->params.find("rtt"));
+        if (const Bare* du = item->params.find("du"))
+            if (const auto* yes = std::get_if<bool>(du)) entry.du = *yes;
+        for (const auto& [key, value] : item->params.all)
+            if (key.find('-') != std::string::npos) entry.custom.set(key, value);
+        out.push_back(std::move(entry));
+    }
+    return out;
+}
+
+std::string write(const CmsdStatic& s) {
+    Dictionary out;
+    const auto put = [&](const char* key, Bare value) { out.set(key, Item{std::move(value), {}}); };
+    if (s.at) put("at", *s.at);
+    if (s.br) put("br", *s.br);
+    if (s.d) put("d", *s.d);
+    if (s.ht) put("ht", *s.ht);
+    if (s.n) put("n", *s.n);
+    if (s.ot) put("ot", Token{*s.ot});
+    if (s.sf) put("sf", Token{*s.sf});
+    if (s.st) put("st", Token{*s.st});
+    if (s.v) put("v", *s.v);
+    return write(out).value_or("");
+}
+
+std::string appended(std::string_view standing, const CmsdEntry& entry) {
+    List list = parseList(standing).value_or(List{});
+    Item item{entry.by, {}};
+    if (entry.etp) item.params.set("etp", *entry.etp);
+    if (entry.mb) item.params.set("mb", *entry.mb);
+    if (entry.rd) item.params.set("rd", *entry.rd);
+    if (entry.rtt) item.params.set("rtt", *entry.rtt);
+    if (entry.du) item.params.set("du", true);
+    for (const auto& [key, value] : entry.custom.all) item.params.set(key, value);
+    list.push_back(std::move(item));
+    return write(list).value_or("");
+}
+
+std::optional<double> figure(const CmsdEntry& entry, std::string_view key) {
+    const Bare* value = entry.custom.find(key);
+    if (!value) return std::nullopt;
+    if (const auto* d = std::get_if<Decimal>(value); d && d->thousandths >= 0) return d->value();
+    if (const auto* i = std::get_if<std::int64_t>(value); i && *i >= 0 && *i < 1'000'000)
+        return static_cast<double>(*i);
+    return std::nullopt;
+}
+
+}  // namespace valekeel::hints
--- /dev/null
+++ b/src/settings/reading.cpp
@@ -0,0 +1,295 @@
+#include "settings/reading.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
+namespace valekeel::settings {
+namespace {
+
+std::size_t distance(std::string_view a, std::string_view b) {
+    std::vector<std::size_t> row(b.size() + 1);
+    for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+    for (std::size_t i = 1; i <= a.size(); ++i) {
+        std::size_t corner = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= b.size(); ++j) {
+            const std::size_t above = row[j];
+            row[j] = std::min({above + 1, row[j - 1] + 1, corner + (a[i - 1] == b[j - 1] ? 0 : 1)});
+            corner = above;
+        }
+    }
+    return row[b.size()];
+}
+
+std::string plain(double v) {
+    std::ostringstream out;
+    out << v;
+    return out.str();
+}
+
+std::string kindOf(const Value& v) {
+    if (std::holds_alternative<Null>(v.is)) return "null";
+    if (std::holds_alternative<bool>(v.is)) return "true or false";
+    if (std::holds_alternative<Number>(v.is)) return "a number";
+    return "a string";
+}
+
+std::string shownTime(Micros t) {
+    if (t % kSecond == 0) return std::to_string(t / kSecond) + "s";
+    if (t % 1000 == 0) return std::to_string(t / 1000) + "ms";
+    return std::to_string(t) + "us";
+}
+
+}  // namespace
+
+std::string nearest(std::string_view to, const std::set<std::string, std::less<>>& among) {
+    std::string best;
+    std::size_t least = 1 + to.size() / 3;
+    for (const std::string& one : among) {
+        const std::size_t d = distance(to, one);
+        if (d <= least && (best.empty() || d < distance(to, best))) best = one;
+    }
+    return best;
+}
+
+std::optional<Micros> timeOf(std::string_view text) {
+    double value = 0;
+    const auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (bad != std::errc{} || !std::isfinite(value)) return std::nullopt;
+    const std::string_view unit(end, static_cast<std::size_t>(text.data() + text.size() - end));
+    double factor = 0;
+    if (unit == "us") factor = 1;
+    if (unit == "ms") factor = 1e3;
+    if (unit == "s") factor = 1e6;
+    if (unit == "min") factor = 6e7;
+    if (unit == "h") factor = 3.6e9;
+    if (factor == 0 || std::fabs(value * factor) > 1e15) return std::nullopt;
+    return std::llround(value * factor);
+}
+
+Document Document::fromText(std::string file, std::string text) {
+    Document out;
+    out.file_ = std::move(file);
+    out.text_ = std::move(text);
+    out.nodes_ = parseKdl(out.file_, out.text_);
+    return out;
+}
+
+Document Document::fromFile(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) throw std::runtime_error(path + ": cannot be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return fromText(path, text.str());
+}
+
+void Document::wrong(Place at, const std::string& what) const {
+    throw Wrong(file_, text_, at, what);
+}
+
+Cursor::Cursor(const Document& document) : document_(&document) {}
+Cursor::Cursor(const Document& document, const Node& node) : document_(&document), node_(&node) {}
+
+const std::vector<Node>& Cursor::children() const {
+    return node_ ? node_->children : document_->nodes();
+}
+const std::string& Cursor::name() const {
+    static const std::string kTop = "the document";
+    return node_ ? node_->name : kTop;
+}
+
+void Cursor::wrong(const std::string& what) const {
+    document_->wrong(node_ ? node_->at : Place{}, what);
+}
+void Cursor::wrongOf(std::string_view property, const std::string& what) const {
+    if (node_)
+        for (const auto& [name, value] : node_->properties)
+            if (name == property) document_->wrong(value.at, what);
+    wrong(what);
+}
+
+std::vector<Cursor> Cursor::each(std::string_view name) {
+    askedNodes_.emplace(name);
+    std::vector<Cursor> out;
+    for (const Node& child : children())
+        if (child.name == name) out.emplace_back(*document_, child);
+    return out;
+}
+
+std::unique_ptr<Cursor> Cursor::one(std::string_view name) {
+    std::vector<Cursor> all = each(name);
+    if (all.empty()) return nullptr;
+    if (all.size() > 1)
+        all[1].wrong("'" + std::string(name) + "' stands here a second time; one is expected");
+    return std::make_unique<Cursor>(std::move(all.front()));
+}
+
+Cursor Cursor::need(std::string_view name) {
+    auto found = one(name);
+    if (!found)
+        wrong("in " + this->name() + " a node '" + std::string(name) + "' is expected, and there is none");
+    return std::move(*found);
+}
+
+const Value* Cursor::find(std::string_view name) {
+    askedProperties_.emplace(name);
+    if (!node_) return nullptr;
+    for (const auto& [key, value] : node_->properties)
+        if (key == name) return &value;
+    return nullptr;
+}
+bool Cursor::has(std::string_view property) const {
+    if (node_)
+        for (const auto& [key, value] : node_->properties)
+            if (key == property) return true;
+    return false;
+}
+
+const Value& Cursor::needed(std::string_view name) {
+    const Value* v = find(name);
+    if (!v) wrong("'" + this->name() + "' needs " + std::string(name) + "=");
+    return *v;
+}
+
+std::string Cursor::text(std::string_view name) {
+    const Value& v = needed(name);
+    const auto* s = std::get_if<std::string>(&v.is);
+    if (!s) document_->wrong(v.at, std::string(name) + " is expected to be a string, and is " + kindOf(v));
+    return *s;
+}
+std::string Cursor::text(std::string_view name, std::string otherwise) {
+    return find(name) ? text(name) : otherwise;
+}
+
+double Cursor::number(std::string_view name, double least, double most) {
+    const Value& v = needed(name);
+    const auto* n = std::get_if<Number>(&v.is);
+    if (!n) document_->wrong(v.at, std::string(name) + " is expected to be a number, and is " + kindOf(v));
+    if (!(n->value >= least && n->value <= most))
+        document_->wrong(v.at,
+                         std::string(name) + " is expected between " + plain(least) + " and " + plain(most));
+    return n->value;
+}
+double Cursor::number(std::string_view name, double least, double most, double otherwise) {
+    return find(name) ? number(name, least, most) : otherwise;
+}
+
+std::int64_t Cursor::whole(std::string_view name, std::int64_t least, std::int64_t most) {
+    const Value& v = needed(name);
+    const auto* n = std::get_if<Number>(&v.is);
+    if (!n || !n->whole) document_->wrong(v.at, std::string(name) + " is expected to be a whole number");
+    if (*n->whole < least || *n->whole > most)
+        document_->wrong(v.at, std::string(name) + " is expected between " + std::to_string(least) + " and " +
+                                   std::to_string(most));
+    return *n->whole;
+}
+std::int64_t Cursor::whole(std::string_view name, std::int64_t least, std::int64_t most,
+                           std::int64_t otherwise) {
+    return find(name) ? whole(name, least, most) : otherwise;
+}
+
+bool Cursor::flag(std::string_view name, bool otherwise) {
+    const Value* v = find(name);
+    if (!v) return otherwise;
+    const bool* b = std::get_if<bool>(&v->is);
+    if (!b) document_->wrong(v->at, std::string(name) + " is expected to be #true or #false");
+    return *b;
+}
+
+Micros Cursor::time(std::string_view name, Micros least, Micros most) {
+    const Value& v = needed(name);
+    const auto* s = std::get_if<std::string>(&v.is);
+    const auto t = s ? timeOf(*s) : std::nullopt;
+    if (!t)
+        document_->wrong(
+            v.at,
+            std::string(name) + " is expected to be a time with its unit, as \"250ms\", \"2s\" or \"5min\"");
+    if (*t < least || *t > most)
+        document_->wrong(
+            v.at, std::string(name) + " is expected between " + shownTime(least) + " and " + shownTime(most));
+    return *t;
+}
+Micros Cursor::time(std::string_view name, Micros least, Micros most, Micros otherwise) {
+    return find(name) ? time(name, least, most) : otherwise;
+}
+
+net::Endpoint Cursor::address(std::string_view name) {
+    const Value& v = needed(name);
+    const auto* s = std::get_if<std::string>(&v.is);
+    const auto at = s ? net::endpointOf(*s) : std::nullopt;
+    if (!at)
+        document_->wrong(
+            v.at, std::string(name) +
+                      " is expected to be an address and port, as \"127.0.0.1:8080\" or \"[::1]:8080\"");
+    return *at;
+}
+
+std::string Cursor::choice(std::string_view name, const std::vector<std::string>& among,
+                           const std::string& otherwise) {
+    const Value* v = find(name);
+    if (!v) return otherwise;
+    const std::string is = text(name);
+    if (std::find(among.begin(), among.end(), is) != among.end()) return is;
+    std::string all;
+    for (const std::string& one : among) all += (all.empty() ? "" : ", ") + one;
+    document_->wrong(v->at, std::string(name) + " is expected to be one of " + all);
+}
+
+std::string Cursor::argument(std::string_view what) {
+    askedArguments_ = true;
+    if (!node_ || node_->arguments.size() != 1)
+        wrong("'" + name() + "' is followed by one value: " + std::string(what));
+    const auto* s = std::get_if<std::string>(&node_->arguments[0].is);
+    if (!s) document_->wrong(node_->arguments[0].at, std::string(what) + " is expected to be a string");
+    return *s;
+}
+
+std::vector<double> Cursor::numbers(std::string_view what, double least, double most) {
+    askedArguments_ = true;
+    std::vector<double> out;
+    if (!node_ || node_->arguments.empty())
+        wrong("'" + name() + "' is followed by numbers: " + std::string(what));
+    for (const Value& v : node_->arguments) {
+        const auto* n = std::get_if<Number>(&v.is);
+        if (!n || !(n->value >= least && n->value <= most))
+            document_->wrong(v.at, std::string(what) + " are expected to be numbers between " + plain(least) +
+                                       " and " + plain(most));
+        out.push_back(n->value);
+    }
+    return out;
+}
+
+std::vector<std::string> Cursor::texts(std::string_view what) {
+    askedArguments_ = true;
+    std::vector<std::string> out;
+    if (!node_) return out;
+    for (const Value& v : node_->arguments) {
+        const auto* s = std::get_if<std::string>(&v.is);
+        if (!s) document_->wrong(v.at, std::string(what) + " are expected to be strings");
+        out.push_back(*s);
+    }
+    return out;
+}
+
+void Cursor::finish() {
+    const auto hint = [](std::string_view name, const auto& known) {
+        const std::string near = nearest(name, known);
+        return near.empty() ? std::string() : "; did you mean '" + near + "'?";
+    };
+    for (const Node& child : children())
+        if (!askedNodes_.count(child.name))
+            document_->wrong(child.at, "a node '" + child.name + "' is not known in " + name() +
+                                           hint(child.name, askedNodes_));
+    if (!node_) return;
+    for (const auto& [key, value] : node_->properties)
+        if (!askedProperties_.count(key))
+            document_->wrong(value.at,
+                             "'" + name() + "' knows no '" + key + "='" + hint(key, askedProperties_));
+    if (!askedArguments_ && !node_->arguments.empty())
+        document_->wrong(node_->arguments[0].at, "'" + name() + "' takes no value here, only name=value");
+}
+
+}  // namespace valekeel::settings
--- /dev/null
+++ b/src/settings/reading.hpp
@@ -0,0 +1,87 @@
+// Checked reading of a KDL document: each part of the program reads its own few nodes through a Cursor, which
+// knows what was asked for. What nobody asked for is refused, with the nearest known name.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "model/ids.hpp"
+#include "net/address.hpp"
+#include "settings/kdl.hpp"
+
+namespace valekeel::settings {
+
+// A whole file, kept for its lines in errors.
+class Document {
+  public:
+    static Document fromText(std::string file, std::string text);  // throws Wrong
+    static Document fromFile(const std::string& path);  // also std::runtime_error if it can't be read
+    const std::vector<Node>& nodes() const { return nodes_; }
+    const std::string& file() const { return file_; }
+    [[noreturn]] void wrong(Place, const std::string& what) const;
+
+  private:
+    std::string file_, text_;
+    std::vector<Node> nodes_;
+};
+
+// One node, or the top of the document. `finish()` refuses what was not asked for; it is called for children
+// by whoever reads them.
+class Cursor {
+  public:
+    explicit Cursor(const Document&);
+    Cursor(const Document&, const Node&);
+
+    // Children by name. one(): none or one; a second is refused.
+    std::unique_ptr<Cursor> one(std::string_view name);
+    Cursor need(std::string_view name);
+    std::vector<Cursor> each(std::string_view name);
+
+    // Properties of this node. The first form refuses if it is missing.
+    std::string text(std::string_view name);
+    std::string text(std::string_view name, std::string otherwise);
+    double number(std::string_view name, double least, double most);
+    double number(std::string_view name, double least, double most, double otherwise);
+    std::int64_t whole(std::string_view name, std::int64_t least, std::int64_t most);
+    std::int64_t whole(std::string_view name, std::int64_t least, std::int64_t most, std::int64_t otherwise);
+    bool flag(std::string_view name, bool otherwise);
+    // A time, written as a string with its unit: "250ms", "2s", "5min"; whole microseconds.
+    Micros time(std::string_view name, Micros least, Micros most);
+    Micros time(std::string_view name, Micros least, Micros most, Micros otherwise);
+    net::Endpoint address(std::string_view name);
+    bool has(std::string_view property) const;
+    std::string choice(std::string_view name, const std::vector<std::string>& among,
+                       const std::string& otherwise);
+
+    // Arguments of this node.
+    std::string argument(std::string_view what);
+    std::vector<double> numbers(std::string_view what, double least, double most);
+    std::vector<std::string> texts(std::string_view what);
+
+    void finish();
+    [[noreturn]] void wrong(const std::string& what) const;
+    [[noreturn]] void wrongOf(std::string_view property, const std::string& what) const;
+    const Node* node() const { return node_; }
+    const std::string& name() const;
+
+  private:
+    const Value* find(std::string_view name);
+    const Value& needed(std::string_view name);
+    const std::vector<Node>& children() const;
+    const Document* document_;
+    const Node* node_ = nullptr;
+    std::set<std::string, std::less<>> askedNodes_, askedProperties_;
+    bool askedArguments_ = false;
+};
+
+// The nearest of some names, if it is near enough to be meant.
+std::string nearest(std::string_view to, const std::set<std::string, std::less<>>& among);
+
+// "1500us", "20ms", "2s", "1.5min", "1h". Nothing if it is none.
+std::optional<Micros> timeOf(std::string_view text);
+
+}  // namespace valekeel::settings
--- /dev/null
+++ b/src/settings/site.cpp
@@ -0,0 +1,154 @@
+#include "settings/site.hpp"
+
+#include <algorithm>
+
+namespace valekeel::settings {
+namespace {
+
+constexpr Micros kLong = 3'600 * kSecond;
+
+}  // namespace
+
+Ladder readLadder(Cursor& top) {
+    Cursor node = top.need("ladder");
+    Ladder ladder;
+    ladder.stallLoss = node.number("stall-loss", 0, 1'000, 5);
+    ladder.switchSeconds = seconds(node.time("switch", 0, 60 * kSecond, 500'000));
+    for (Cursor& rung : node.each("rung")) {
+        const double kb = rung.number("kb", 0.01, 1e7), worth = rung.number("worth", 0, 1);
+        if (!ladder.kb.empty() && kb <= ladder.kb.back())
+            rung.wrongOf("kb", "rungs are expected to rise in kb");
+        if (!ladder.worth.empty() && worth < ladder.worth.back())
+            rung.wrongOf("worth", "a higher rung is expected to be worth no less");
+        ladder.kb.push_back(kb);
+        ladder.worth.push_back(worth);
+        rung.finish();
+    }
+    if (ladder.kb.empty()) node.wrong("'ladder' is expected to hold rungs: rung kb=... worth=...");
+    if (ladder.kb.size() > 32) node.wrong("a ladder has 32 rungs at most");
+    node.finish();
+    return ladder;
+}
+
+std::optional<RoomTypeId> RoomTypes::find(std::string_view name) const {
+    for (std::size_t i = 0; i < types.size(); ++i)
+        if (types[i].name == name) return RoomTypeId{static_cast<std::uint32_t>(i)};
+    return std::nullopt;
+}
+
+RoomTypes readRoomTypes(Cursor& top, const Ladder& ladder) {
+    RoomTypes out;
+    const auto last = static_cast<std::int64_t>(ladder.kb.size()) - 1;
+    for (Cursor& node : top.each("room-type")) {
+        RoomType room;
+        room.name = node.argument("its name");
+        if (room.name.empty() || out.find(room.name)) node.wrong("a room type needs a name of its own");
+        const Micros timeout = node.time("client-timeout", 100'000, kLong);
+        room.joinObjective = node.time("join-objective", 10'000, kLong);
+        if (room.joinObjective > timeout)
+            node.wrongOf("join-objective", "the join objective is expected within the client timeout");
+        room.benefit = node.number("benefit", 0.0001, 1e6, 1);
+        const std::string repeat = node.choice("set-up", {"free", "paid", "keyed"}, "free");
+        room.paid = repeat == "paid";
+        room.keyed = repeat == "keyed";
+        if (room.keyed) room.repeatWithin = node.time("repeat-within", 0, kLong, timeout);
+        room.rateFactor = node.number("rate-factor", 0.01, 100, 1);
+        room.floor = static_cast<int>(node.whole("floor", 0, last, 0));
+        room.top = static_cast<int>(node.whole("top", room.floor, last, last));
+        room.seats = static_cast<int>(node.whole("seats", 0, 1'000'000, 0));
+        node.finish();
+        out.types.push_back(std::move(room));
+        out.clientTimeouts.push_back(timeout);
+    }
+    if (out.types.empty()) top.wrong("at least one 'room-type' is expected");
+    return out;
+}
+
+Machines readMachines(Cursor& top) {
+    Machines out;
+    Cursor node = top.need("fleet");
+    Fleet& fleet = out.fleet;
+    fleet.cells = static_cast<int>(node.whole("cells", 1, 100'000));
+    fleet.racks = static_cast<int>(node.whole("racks", 1, 10'000, 1));
+    fleet.linksKb = node.number("links-kb", 0, 1e12);
+    fleet.linkKbPerSize = node.number("link-kb-per-size", 0, 1e9, 0);
+    fleet.uplinkKb = node.number("uplink-kb", 0, 1e12, 0);
+    fleet.sizesTold = fleet.linkKbPerSize > 0;
+    fleet.listAsked = true;
+    for (Cursor& kind : node.each("kind")) {
+        out.kinds.push_back(kind.argument("its name"));
+        fleet.places.push_back(static_cast<int>(kind.whole("places", 1, 1'000'000)));
+        kind.finish();
+    }
+    if (out.kinds.empty())
+        node.wrong("'fleet' is expected to name at least one kind: kind \"NAME\" places=...");
+    node.finish();
+    return out;
+}
+
+ColdTerms readColdTerms(Cursor& top) {
+    ColdTerms out;
+    auto node = top.one("cold");
+    if (!node) return out;
+    out.warmUp = node->time("warm-up", 0, kLong);
+    out.firstShare = node->number("first-share", 0.01, 1);
+    out.fallMultiple = node->number("fall-multiple", 0.1, 100);
+    out.tipAfter = node->time("tip-after", 1'000, kLong);
+    node->finish();
+    return out;
+}
+
+std::optional<JoinBudget> readJoinBudget(Cursor& top) {
+    auto node = top.one("join-budget");
+    if (!node) return std::nullopt;
+    JoinBudget out;
+    out.free = node->number("free", 0, 1e6);
+    out.share = node->number("share", 0, 10);
+    out.window = node->time("window", 100'000, kLong);
+    node->finish();
+    return out;
+}
+
+Tidings readTidings(Cursor& top) {
+    Tidings out;
+    auto node = top.one("tidings");
+    out.late = 100'000;
+    out.every = kSecond;
+    if (!node) return out;
+    out.late = node->time("late", 0, 60 * kSecond, out.late);
+    out.every = node->time("every", 100'000, 60 * kSecond, out.every);
+    node->finish();
+    return out;
+}
+
+Allowed readAllowed(Cursor& top) {
+    Allowed out;
+    out.joinsEach = 3;
+    out.comeBack = true;
+    out.comeBackAtMost = 2 * kSecond;
+    auto node = top.one("allowed");
+    if (!node) return out;
+    out.joinsEach = static_cast<int>(node->whole("joins", 1, 100, out.joinsEach));
+    out.comeBackAtMost = node->time("come-back-at-most", 0, kLong, out.comeBackAtMost);
+    out.comeBack = out.comeBackAtMost > 0;
+    node->finish();
+    return out;
+}
+
+Talks readTalks(Cursor& top, const Fleet& fleet) {
+    Talks out;
+    for (Cursor& node : top.each("talk")) {
+        const std::string name = node.argument("its title");
+        if (name.empty() || name.find('/') != std::string::npos || out.count(name))
+            node.wrong("a talk needs a title of its own, without '/'");
+        Talk talk;
+        talk.firstCell = Cell{static_cast<std::uint32_t>(node.whole("first-cell", 0, fleet.cells - 1, 0))};
+        talk.holders = static_cast<int>(node.whole("holders", 1, fleet.cells, fleet.cells));
+        node.finish();
+        out.emplace(name, talk);
+    }
+    if (out.empty()) top.wrong("at least one 'talk' is expected");
+    return out;
+}
+
+}  // namespace valekeel::settings
