core, boxes, list, admission, record: the module's Host on real joins

Need: every decision goes through the accepted module; one answer for each request; what a join's end proves stands in one table. Change: core holds the subscriptions and is the module's Host; boxes maps each way a join can end on the wire to a JoinEnd with the reason why it is proof or not; the list is followed from a stream or a file and kept on disk; admission shares what waits among client networks.

--- /dev/null
+++ b/src/admission/gate.cpp
@@ -0,0 +1,72 @@
+#include "admission/gate.hpp"
+
+#include <algorithm>
+
+namespace valekeel::admission {
+
+void Gate::name(const Prefix& network, const std::string& name) {
+    const auto [it, fresh] = names_.try_emplace(name, static_cast<std::uint32_t>(networks_.size()));
+    if (fresh) networks_.push_back({name, 0, 0, true, network});
+    told_.put(network, it->second);
+}
+
+std::uint32_t Gate::networkOf(const net::IpAddress& ip) {
+    const Prefix host = hostOf(ip);
+    if (const auto told = told_.find(host)) return *told;
+    const bool four = ip.is_v4() || ip.to_v6().is_v4_mapped();
+    const Prefix prefix = cut(host, four ? 96 + prefix4_ : prefix6_);
+    const auto it = untold_.find(prefix);
+    if (it != untold_.end()) return it->second;
+    std::uint32_t id;
+    if (free_.empty()) {
+        id = static_cast<std::uint32_t>(networks_.size());
+        networks_.emplace_back();
+    } else {
+        id = free_.back();
+        free_.pop_back();
+    }
+    networks_[id] = {text(prefix), 0, 0, false, prefix};
+    untold_[prefix] = id;
+    return id;
+}
+
+// What nobody told of and nobody uses is forgotten: an attacker's many prefixes must not stay.
+void Gate::forgetIfIdle(std::uint32_t id) {
+    Network& n = networks_[id];
+    if (n.told || n.waiting > 0 || n.connections > 0) return;
+    if (untold_.erase(n.prefix)) free_.push_back(id);
+}
+
+bool Gate::connect(std::uint32_t network) {
+    Network& n = networks_[network];
+    if (n.connections >= connectionsEach_) return false;
+    ++n.connections;
+    return true;
+}
+
+void Gate::disconnect(std::uint32_t network) {
+    --networks_[network].connections;
+    forgetIfIdle(network);
+}
+
+Gate::Let Gate::ask(std::uint32_t network) {
+    Network& n = networks_[network];
+    if (held_ >= waiting_) return Let::Full;
+    const std::size_t sharers = holding_ + (n.waiting == 0 ? 1 : 0) + 1;
+    const std::size_t share = std::max<std::size_t>(1, waiting_ / sharers);
+    if (held_ >= waiting_ / 2 && n.waiting >= share) return Let::OverShare;
+    const std::size_t kept = waiting_ / 10;
+    if (held_ + kept >= waiting_ && n.waiting >= std::max<std::size_t>(1, kept / 4)) return Let::OverShare;
+    if (n.waiting++ == 0) ++holding_;
+    ++held_;
+    return Let::In;
+}
+
+void Gate::answered(std::uint32_t network) {
+    Network& n = networks_[network];
+    if (--n.waiting == 0) --holding_;
+    --held_;
+    forgetIfIdle(network);
+}
+
+}  // namespace valekeel::admission
--- /dev/null
+++ b/src/boxes/boxes.cpp
@@ -0,0 +1,291 @@
+#include "boxes/boxes.hpp"
+
+#include <algorithm>
+
+namespace valekeel::boxes {
+
+struct Boxes::Kept {
+    std::unique_ptr<http::Connection> conn;
+    bool busy = false;
+};
+
+struct Boxes::Box {
+    net::Endpoint at;
+    Reuse reuse;
+    std::map<ConnId, Kept> conns;
+    std::deque<Exchange*> waiting;
+    Box(const net::Endpoint& at, const BoxLimits& l) : at(at), reuse(l.connections, l.keepIdle, l.sureFor) {}
+};
+
+// One request on its way: it waits for a connection, or holds one.
+class Boxes::Exchange final : public Request, private http::FetchUser {
+  public:
+    Exchange(Boxes& all, Box& box, std::string bytes, bool headOnly, bool sure, Micros within,
+             RequestUser& user)
+        : all_(all),
+          box_(&box),
+          alive_(all.alive_),
+          bytes_(std::move(bytes)),
+          headOnly_(headOnly),
+          sure_(sure),
+          user_(user),
+          late_(all.net_, [this] { tooLate(); }),
+          start_(all.net_, [this] { start(); }) {
+        late_.after(within);
+        start_.after(0);
+    }
+    ~Exchange() override {
+        if (*alive_ && !done_) letGo(false);
+    }
+
+    void pause() override {
+        if (conn_) conn_->pause();
+    }
+    void resume() override {
+        if (conn_) conn_->resume();
+    }
+    bool wroteAny() const override { return conn_ && conn_->wroteAny(); }
+    WireEnd cancel() override {
+        const bool out = wroteAny();
+        letGo(false);
+        return out ? WireEnd::CancelledOut : WireEnd::CancelledUnsent;
+    }
+    bool sure() const { return sure_; }
+    void useConn(ConnId id, http::Connection& conn, bool kept) {
+        id_ = id;
+        conn_ = &conn;
+        kept_ = kept;
+        waits_ = false;
+        conn.fetch(std::move(bytes_), headOnly_, *this);
+    }
+
+    void start() {
+        if (box_->waiting.size() >= all_.limits_.waiting) {
+            finish();
+            user_.failed(WireEnd::NoRoomToSend);
+            return;
+        }
+        waits_ = true;
+        box_->waiting.push_back(this);
+        all_.serveWaiting(*box_);
+    }
+
+  private:
+    void answered(const http::ResponseHead& head) override { user_.head(head); }
+    void piece(std::string_view bytes) override { user_.piece(bytes); }
+    void fetched(bool kept) override {
+        finish();
+        giveBack(kept);
+        user_.whole();
+    }
+    void failed(http::Failed how) override {
+        const bool kept = kept_;
+        finish();
+        giveBack(false);
+        user_.failed(meaningFor(how, kept));
+    }
+    static WireEnd meaningFor(http::Failed how, bool kept) {
+        switch (how) {
+            case http::Failed::Refused:
+                return WireEnd::ConnectRefused;
+            case http::Failed::NoConnection:
+                return WireEnd::ConnectFailed;
+            case http::Failed::NeverWritten:
+                return WireEnd::NeverWritten;
+            case http::Failed::BrokenOut:
+                return kept ? WireEnd::BrokenOutKept : WireEnd::BrokenOutFresh;
+            case http::Failed::BrokenAnswer:
+                return WireEnd::BrokenAnswer;
+            case http::Failed::BadAnswer:
+                return WireEnd::BadAnswer;
+        }
+        return WireEnd::BadAnswer;
+    }
+
+    void tooLate() {
+        const bool waited = !conn_, out = wroteAny();
+        letGo(false);
+        user_.failed(waited ? WireEnd::NoRoomToSend : out ? WireEnd::TimedOutOut : WireEnd::ConnectFailed);
+    }
+    void finish() {
+        done_ = true;
+        late_.cancel();
+        start_.cancel();
+    }
+    void letGo(bool kept) {
+        if (done_) return;
+        finish();
+        if (waits_) std::erase(box_->waiting, this);
+        waits_ = false;
+        giveBack(kept);
+    }
+    void giveBack(bool kept) {
+        if (!conn_) return;
+        conn_ = nullptr;
+        const auto it = box_->conns.find(id_);
+        if (it == box_->conns.end()) return;
+        if (kept && it->second.conn->idle()) {
+            it->second.busy = false;
+            box_->reuse.idle(all_.net_.now(), id_);
+        } else {
+            box_->reuse.closed(id_, true);
+            all_.dead_.push_back(std::move(it->second.conn));
+            box_->conns.erase(it);
+            all_.bury_.after(0);
+        }
+        if (!box_->waiting.empty()) all_.serveWaiting(*box_);
+    }
+
+    Boxes& all_;
+    Box* box_;
+    std::shared_ptr<bool> alive_;
+    std::string bytes_;
+    bool headOnly_, sure_;
+    RequestUser& user_;
+    net::Timer late_, start_;
+    ConnId id_;
+    http::Connection* conn_ = nullptr;
+    bool kept_ = false, waits_ = false, done_ = false;
+};
+
+struct Boxes::Told final : RequestUser {
+    Boxes& all;
+    std::uint64_t key;
+    std::unique_ptr<Request> request;
+    net::Timer over;
+    Told(Boxes& all, std::uint64_t key)
+        : all(all), key(key), over(all.net_, [this] { this->all.told_.erase(this->key); }) {}
+    void head(const http::ResponseHead&) override {}
+    void piece(std::string_view) override {}
+    void whole() override { over.after(0); }
+    void failed(WireEnd) override { over.after(0); }
+};
+
+Boxes::Boxes(net::Net& net, const http::WireLimits& wire, const BoxLimits& limits)
+    : net_(net), wire_(wire), limits_(limits), bury_(net, [this] { dead_.clear(); }), tidy_(net, [this] {
+          tidy();
+      }) {
+    tidy_.after(kSecond);
+}
+
+Boxes::~Boxes() {
+    told_.clear();
+    *alive_ = false;
+}
+
+Boxes::Box* Boxes::find(SfuId id) {
+    const auto it = boxes_.find(id);
+    return it == boxes_.end() ? nullptr : it->second.get();
+}
+
+void Boxes::at(SfuId id, const net::Endpoint& where) {
+    Box* box = find(id);
+    if (!box) {
+        boxes_[id] = std::make_unique<Box>(where, limits_);
+        return;
+    }
+    if (box->at == where) return;
+    box->at = where;
+    for (auto it = box->conns.begin(); it != box->conns.end();) {
+        if (it->second.busy) {
+            ++it;
+            continue;
+        }
+        box->reuse.closed(it->first, false);
+        it = box->conns.erase(it);
+    }
+}
+
+const net::Endpoint* Boxes::whereIs(SfuId id) const {
+    const auto it = boxes_.find(id);
+    return it == boxes_.end() ? nullptr : &it->second->at;
+}
+
+std::unique_ptr<Request> Boxes::send(SfuId id, std::string_view method, const std::string& target,
+                                     const http::Fields& fields, bool sure, Micros within,
+                                     RequestUser& user) {
+    Box* box = find(id);
+    if (!box) {  // never listed: a place that nobody answers at
+        at(id, net::Endpoint{boost::asio::ip::make_address("127.0.0.1"), 1});
+        box = find(id);
+    }
+    return std::make_unique<Exchange>(*this, *box, http::requestBytes(method, target, box->at, fields),
+                                      method == "HEAD", sure, std::max<Micros>(within, 0), user);
+}
+
+void Boxes::tell(SfuId id, std::string_view method, const std::string& target, const http::Fields& fields) {
+    if (told_.size() >= limits_.waiting) return;  // a box drops what it hears nothing of by itself
+    const std::uint64_t key = nextTold_++;
+    auto& told = told_[key] = std::make_unique<Told>(*this, key);
+    told->request = send(id, method, target, fields, false, 2 * kSecond, *told);
+}
+
+void Boxes::serveWaiting(Box& box) {
+    while (!box.waiting.empty()) {
+        Exchange* next = box.waiting.front();
+        const auto choice = box.reuse.choose(net_.now(), next->sure() ? Reuse::Need::Sure : Reuse::Need::Any);
+        using What = Reuse::Choice::What;
+        if (choice.what == What::Wait) return;
+        if (choice.what == What::Use) {
+            const auto it = box.conns.find(choice.conn);
+            if (it->second.conn->lost()) {  // closed by the box while it lay idle: seen in time
+                box.reuse.closed(choice.conn, false);
+                box.conns.erase(it);
+                continue;
+            }
+            box.waiting.pop_front();
+            box.reuse.taken(choice.conn);
+            it->second.busy = true;
+            next->useConn(choice.conn, *it->second.conn, true);
+            continue;
+        }
+        if (choice.what == What::CloseAndOpen) {
+            box.reuse.closed(choice.conn, false);
+            box.conns.erase(choice.conn);
+        }
+        box.waiting.pop_front();
+        const ConnId id{nextConn_++};
+        Kept& kept = box.conns[id];
+        kept.conn = std::make_unique<http::Connection>(net_, box.at, wire_, limits_.connectWithin);
+        kept.busy = true;
+        box.reuse.opened(id);
+        next->useConn(id, *kept.conn, false);
+    }
+}
+
+void Boxes::tidy() {
+    for (auto& [id, box] : boxes_) {
+        while (const auto old = box->reuse.stale(net_.now())) {
+            box->reuse.closed(*old, false);
+            box->conns.erase(*old);
+        }
+        for (auto it = box->conns.begin(); it != box->conns.end();) {
+            if (!it->second.busy && it->second.conn->lost()) {
+                box->reuse.closed(it->first, false);
+                it = box->conns.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+    tidy_.after(kSecond);
+}
+
+std::size_t Boxes::connections() const {
+    std::size_t sum = 0;
+    for (const auto& [id, box] : boxes_) sum += box->conns.size();
+    return sum;
+}
+
+Load loadOf(const http::Fields& fields) {
+    Load load;
+    const auto dynamic = fields.joined("CMSD-Dynamic");
+    if (!dynamic) return load;
+    for (const hints::CmsdEntry& entry : hints::parseCmsdDynamic(*dynamic)) {
+        if (const auto use = hints::figure(entry, hints::kLinkUseKey)) load.linkUse = use;
+        if (const auto use = hints::figure(entry, hints::kUplinkUseKey)) load.uplinkUse = use;
+    }
+    return load;
+}
+
+}  // namespace valekeel::boxes
--- /dev/null
+++ b/src/boxes/boxes.hpp
@@ -0,0 +1,91 @@
+// Speaks to media servers over HTTP: joins, segments, releases, over connections that are kept. It chooses no
+// box; it knows where each one listens, and what their answers tell.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "boxes/outcome.hpp"
+#include "boxes/reuse.hpp"
+#include "hints/cmsd.hpp"
+#include "http/client.hpp"
+#include "net/net.hpp"
+
+namespace valekeel::boxes {
+
+struct BoxLimits {
+    std::size_t connections = 256;  // to one box
+    std::size_t waiting = 1'024;    // requests that wait for one of them
+    Micros connectWithin = 250'000;
+    Micros keepIdle = 20'000'000;
+    Micros sureFor = 1'000'000;
+    std::size_t answerBytes = 262'144;  // of a playlist; segments are streamed
+};
+
+// One request to a box, until it is done. Deleting it calls it off.
+class Request {
+  public:
+    virtual ~Request() = default;
+    virtual void pause() = 0;
+    virtual void resume() = 0;
+    virtual bool wroteAny() const = 0;
+    // Called off, with what that proves.
+    virtual WireEnd cancel() = 0;
+};
+
+class RequestUser {
+  public:
+    virtual ~RequestUser() = default;
+    virtual void head(const http::ResponseHead&) = 0;
+    virtual void piece(std::string_view) = 0;
+    // The last call; the request may be deleted within it.
+    virtual void whole() = 0;
+    virtual void failed(WireEnd) = 0;
+};
+
+class Boxes {
+  public:
+    Boxes(net::Net&, const http::WireLimits&, const BoxLimits&);
+    ~Boxes();
+
+    // Where a box listens; a new place closes what stands to the old one as it falls idle.
+    void at(SfuId, const net::Endpoint&);
+    const net::Endpoint* whereIs(SfuId) const;
+
+    // GET or DELETE of a path. `sure`: it must not be left in doubt by a kept connection. Nothing is called
+    // before this returns.
+    std::unique_ptr<Request> send(SfuId, std::string_view method, const std::string& target,
+                                  const http::Fields&, bool sure, Micros within, RequestUser&);
+    // Fire and forget: tells a box that what it holds there is over.
+    void tell(SfuId, std::string_view method, const std::string& target, const http::Fields&);
+
+    std::size_t connections() const;
+
+  private:
+    class Exchange;
+    struct Box;
+    struct Kept;
+    struct Told;
+    Box* find(SfuId);
+    void serveWaiting(Box&);
+    void tidy();
+
+    net::Net& net_;
+    http::WireLimits wire_;
+    BoxLimits limits_;
+    std::map<SfuId, std::unique_ptr<Box>> boxes_;
+    std::uint64_t nextConn_ = 1;
+    std::map<std::uint64_t, std::unique_ptr<Told>> told_;
+    std::uint64_t nextTold_ = 1;
+    std::vector<std::unique_ptr<http::Connection>> dead_;
+    net::Timer bury_, tidy_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+// Of a join's or segment's answer: what its CMSD entries tell.
+Load loadOf(const http::Fields&);
+
+}  // namespace valekeel::boxes
--- /dev/null
+++ b/src/boxes/joins.cpp
@@ -0,0 +1,111 @@
+#include "boxes/joins.hpp"
+
+namespace valekeel::boxes {
+
+class Joins::Out final : public RequestUser {
+  public:
+    Out(Joins& all, SubId id, int joinNo, std::string path)
+        : all_(all), id_(id), joinNo_(joinNo), path_(std::move(path)), began_(all.net_.now()) {}
+    std::unique_ptr<Request> request;
+    int joinNo() const { return joinNo_; }
+
+  private:
+    void head(const http::ResponseHead& head) override {
+        head_ = head;
+        toHead_ = all_.net_.now() - began_;
+    }
+    void piece(std::string_view bytes) override {
+        if (body_.size() <= all_.limits_.bytes) body_ += bytes;
+    }
+    void whole() override {
+        const Load load = loadOf(head_.fields);
+        WireEnd end = WireEnd::ErrorStatus;
+        if (head_.status == 200) {
+            auto read = hls::readMultivariant(body_, all_.limits_);
+            end = read.got && read.got->variants.size() >= all_.rungs_ ? WireEnd::Answered200
+                                                                       : WireEnd::BadAnswer;
+            if (end == WireEnd::Answered200)
+                all_.answers_[id_] =
+                    JoinAnswer{std::move(*read.got), path_, head_.fields.joined("CMSD-Static").value_or(""),
+                               head_.fields.joined("CMSD-Dynamic").value_or(""), toHead_};
+        } else if (head_.status == 503) {
+            end = WireEnd::TurnedAway;
+            for (const auto& entry :
+                 hints::parseCmsdDynamic(head_.fields.joined("CMSD-Dynamic").value_or(""))) {
+                const hints::Bare* unseen = entry.custom.find("org.valekeel-unseen");
+                if (unseen && *unseen == hints::Bare(true)) end = WireEnd::TurnedAwayUnseen;
+            }
+        }
+        all_.ended(id_, joinNo_, end, load, all_.net_.now() - began_);
+    }
+    void failed(WireEnd end) override {
+        // What failed after a head was read ran, whatever way it broke.
+        if (head_.status != 0 && end == WireEnd::TimedOutOut) end = WireEnd::BrokenAnswer;
+        all_.ended(id_, joinNo_, end, Load{}, all_.net_.now() - began_);
+    }
+
+    Joins& all_;
+    SubId id_;
+    int joinNo_;
+    std::string path_, body_;
+    http::ResponseHead head_;
+    Micros began_, toHead_ = 0;
+};
+
+Joins::Joins(net::Net& net, Boxes& boxes, std::string name, std::size_t rungs,
+             const hls::PlaylistLimits& limits, std::function<void()> follow)
+    : net_(net),
+      boxes_(boxes),
+      name_(std::move(name)),
+      rungs_(rungs),
+      limits_(limits),
+      follow_(std::move(follow)),
+      bury_(net, [this] { dead_.clear(); }) {}
+Joins::~Joins() = default;
+
+std::string Joins::keyOf(SubId id) const {
+    return name_ + "." + std::to_string(id.v);
+}
+const JoinAnswer* Joins::answerOf(SubId id) const {
+    const auto it = answers_.find(id);
+    return it == answers_.end() ? nullptr : &it->second;
+}
+void Joins::forget(SubId id) {
+    scribes_.erase(id);
+    answers_.erase(id);
+}
+
+void Joins::join(SubId id, int joinNo, SfuId at, int rung, Micros timeOut, bool paid) {
+    const auto scribe = scribes_.find(id);
+    JoinWords words;
+    if (scribe != scribes_.end()) words = scribe->second->wordsFor(id, joinNo);
+    const std::string target = "/talk/" + http::percentEncoded(words.title) + "/main.m3u8?sub=" + keyOf(id) +
+                               "&room=" + http::percentEncoded(words.room) + "&rung=" + std::to_string(rung) +
+                               "&join=" + std::to_string(joinNo);
+    auto out = std::make_unique<Out>(*this, id, joinNo, target);
+    out->request = boxes_.send(at, "GET", target, words.fields, paid, timeOut, *out);
+    out_[id] = std::move(out);
+}
+
+void Joins::cancel(SubId id, int joinNo) {
+    const auto it = out_.find(id);
+    if (it == out_.end() || it->second->joinNo() != joinNo) return;
+    const WireEnd end = it->second->request->cancel();
+    ended(id, joinNo, end, Load{}, 0);
+}
+
+void Joins::ended(SubId id, int joinNo, WireEnd end, Load load, Micros took) {
+    const auto it = out_.find(id);
+    if (it == out_.end()) return;
+    dead_.push_back(std::move(it->second));
+    out_.erase(it);
+    bury_.after(0);
+    const Meaning& meaning = meaningOf(end);
+    core_->joined(id, joinNo, core::JoinOutcome{meaning.end, meaning.neverRan, took, load, meaning.name});
+}
+
+void Joins::release(SubId id, SfuId at) {
+    boxes_.tell(at, "DELETE", "/sub/" + keyOf(id), {});
+}
+
+}  // namespace valekeel::boxes
--- /dev/null
+++ b/src/boxes/joins.hpp
@@ -0,0 +1,70 @@
+// Joins on the wire: the front's first fetch of a talk at the box that the module chose. What its end proves
+// is read off the table in outcome.hpp, here and nowhere else.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "boxes/boxes.hpp"
+#include "core/core.hpp"
+#include "hls/playlist.hpp"
+
+namespace valekeel::boxes {
+
+// What a join says. The face that asked for the subscription knows it.
+struct JoinWords {
+    std::string title, room;
+    http::Fields fields;  // hints and trace, carried on
+};
+class JoinScribe {
+  public:
+    virtual ~JoinScribe() = default;
+    virtual JoinWords wordsFor(SubId, int joinNo) = 0;
+};
+
+// What a box answered to the join that plays.
+struct JoinAnswer {
+    hls::Multivariant variants;  // in the order of the rungs
+    std::string path;            // that it was found at
+    std::string cmsdStatic, cmsdDynamic;
+    Micros toHead = 0;
+};
+
+class Joins final : public core::Sender {
+  public:
+    // `name`: of this front, unlike that of any other and of its own earlier life: it names subscriptions at
+    // boxes. `follow`: begins to follow the list.
+    Joins(net::Net&, Boxes&, std::string name, std::size_t rungs, const hls::PlaylistLimits&,
+          std::function<void()> follow);
+    ~Joins() override;
+    void connect(core::Core& core) { core_ = &core; }
+    void scribe(SubId id, JoinScribe& one) { scribes_[id] = &one; }
+    void forget(SubId);
+
+    std::string keyOf(SubId) const;  // under which boxes know it
+    const JoinAnswer* answerOf(SubId) const;
+
+    void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) override;
+    void cancel(SubId, int joinNo) override;
+    void release(SubId, SfuId) override;
+    void followList() override { follow_(); }
+
+  private:
+    class Out;
+    void ended(SubId, int joinNo, WireEnd, Load, Micros took);
+    net::Net& net_;
+    Boxes& boxes_;
+    std::string name_;
+    std::size_t rungs_;
+    hls::PlaylistLimits limits_;
+    std::function<void()> follow_;
+    core::Core* core_ = nullptr;
+    std::map<SubId, JoinScribe*> scribes_;
+    std::map<SubId, std::unique_ptr<Out>> out_;
+    std::map<SubId, JoinAnswer> answers_;
+    std::vector<std::unique_ptr<Out>> dead_;
+    net::Timer bury_;
+};
+
+}  // namespace valekeel::boxes
--- /dev/null
+++ b/src/boxes/outcome.hpp
@@ -0,0 +1,39 @@
+// What a join's end on the wire comes to: one table, and for each way the reason why it is, or is not, proof
+// that nothing ran. Whether a paid set-up may be sent again rests on this table alone.
+#pragma once
+
+#include <string_view>
+
+#include "model/records.hpp"
+
+namespace valekeel::boxes {
+
+enum class WireEnd {
+    Answered200,       // the playlist came, whole
+    ConnectRefused,    // nobody listens
+    ConnectFailed,     // no route, or no connection in time
+    NoDescriptor,      // this front could open no socket
+    NoRoomToSend,      // the box's connections were all taken until time ran out
+    NeverWritten,      // connected, broken before a byte of the request left
+    TurnedAwayUnseen,  // 503 that names itself unseen
+    TurnedAway,        // 503 that does not
+    ErrorStatus,       // any other status
+    BadAnswer,         // no HTTP, over a limit, or no playlist in it
+    BrokenOutKept,     // a kept connection closed as the request went out
+    BrokenOutFresh,    // a fresh connection broken after bytes of the request left
+    BrokenAnswer,      // the answer was cut short
+    TimedOutOut,       // no whole answer in time
+    CancelledUnsent,   // called off before a byte left
+    CancelledOut,      // called off after
+    Count_
+};
+
+struct Meaning {
+    JoinEnd end;
+    bool neverRan;  // proof
+    std::string_view name, why;
+};
+
+const Meaning& meaningOf(WireEnd);
+
+}  // namespace valekeel::boxes
--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,315 @@
+#include "core/core.hpp"
+
+#include <algorithm>
+
+namespace valekeel::core {
+
+Core::Core(net::Net& net, const std::vector<RoomType>& rooms, const CoreLimits& limits, Micros deliveryWindow,
+           Sender& sender, Watcher& watcher, const Decide& decide)
+    : net_(net),
+      rooms_(rooms),
+      limits_(limits),
+      delivery_(deliveryWindow),
+      sender_(sender),
+      watcher_(watcher),
+      reportTimer_(net, [this] { report(); }) {
+    tell([&] { decides_ = decide(*this, net_.now()); });
+    reportTimer_.after(delivery_.window());
+}
+
+Core::~Core() = default;
+
+// The module calls back while it is told something. What that sets off outside is done once it has returned:
+// an answer that finds its connection broken must not come back into the module from below.
+template <class Call>
+void Core::tell(Call&& call) {
+    ++telling_;
+    call();
+    --telling_;
+    if (telling_ > 0 || draining_) return;
+    draining_ = true;
+    while (!after_.empty()) {
+        const std::function<void()> next = std::move(after_.front());
+        after_.pop_front();
+        next();
+    }
+    draining_ = false;
+}
+
+void Core::after(std::function<void()> what) {
+    after_.push_back(std::move(what));
+    if (telling_ == 0 && !draining_) tell([] {});
+}
+
+// ================= from a face =================
+
+std::optional<SubId> Core::ask(Face& face, Wish wish, Micros clientTimeout) {
+    if (subs_.size() >= limits_.subs) {
+        ++counts_.refusedFull;
+        return std::nullopt;
+    }
+    const Micros now = net_.now();
+    const SubId id{nextSub_++};
+    Sub& sub = subs_[id];
+    sub.face = &face;
+    wish.giveUpAt = now + clientTimeout - limits_.answerMargin;
+    sub.wish = wish;
+    sub.askedAt = now;
+    sub.guard = std::make_unique<net::Timer>(net_, [this, id] { guard(id); });
+    sub.guard->at(now + clientTimeout - limits_.answerMargin / 2);
+    ++unanswered_;
+    ++counts_.asked;
+    watcher_.asked(id, wish);
+    // Later than the face's own call: the face must know the id before it hears of it.
+    after([this, id, now] {
+        const auto it = subs_.find(id);
+        if (it == subs_.end()) return;
+        tell([&] { decides_->subscribe(now, id, it->second.wish); });
+    });
+    return id;
+}
+
+void Core::left(SubId id) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end() || it->second.left) return;
+    Sub& sub = it->second;
+    sub.left = true;
+    ++counts_.left;
+    const Micros now = net_.now();
+    if (sub.state == State::Asked) {
+        sub.state = State::Answered;
+        --unanswered_;
+    }
+    sub.guard.reset();
+    if (sub.plays) {
+        sender_.release(id, sub.at);
+        tell([&] {
+            decides_->joinEnded(now, id, sub.joins - 1, sub.at, JoinEnd::Played, true, now - sub.playsSince,
+                                Load{});
+        });
+        drop(id, "left");
+    } else {
+        tell([&] { decides_->viewerLeft(now, id); });
+        // What a join that is out comes to is still awaited. One that may be repeated is called off; a paid
+        // one runs to its end, and its place is given back then.
+        if (!sub.joinOut)
+            drop(id, "left");
+        else if (!rooms_[sub.wish.room.v].paid)
+            after([this, id, joinNo = sub.joins - 1] { sender_.cancel(id, joinNo); });
+    }
+}
+
+void Core::rungFetched(SubId id, int rung) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end() || !it->second.plays || it->second.rung != rung) return;
+    tell([&] { decides_->rungInForce(net_.now(), id, rung); });
+}
+
+void Core::lost(SubId id, JoinEnd end) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end() || !it->second.plays) return;
+    Sub& sub = it->second;
+    const Micros now = net_.now();
+    ++counts_.broke;
+    sub.plays = false;
+    Face* face = sub.left ? nullptr : sub.face;
+    tell([&] {
+        decides_->joinEnded(now, id, sub.joins - 1, sub.at, end, true, now - sub.playsSince, Load{});
+        if (face) after([face, id] { face->broke(id); });
+    });
+    drop(id, "broke");
+}
+
+// ================= from what is sent =================
+
+void Core::joined(SubId id, int joinNo, const JoinOutcome& outcome) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end() || !it->second.joinOut || joinNo != it->second.joins - 1) return;
+    Sub& sub = it->second;
+    const Micros now = net_.now();
+    sub.joinOut = false;
+    watcher_.joinEnded(id, joinNo, sub.at, outcome);
+    if (outcome.end == JoinEnd::Played) {
+        sub.plays = true;
+        sub.playsSince = now;
+        const SfuId at = sub.at;
+        bool wanted = false;
+        tell([&] {
+            wanted = !sub.left && answer(id, sub, "plays");
+            if (wanted) {
+                ++counts_.played;
+                after([this, id] {
+                    const auto found = subs_.find(id);
+                    if (found != subs_.end() && !found->second.left)
+                        found->second.face->plays(id, found->second.at, found->second.rung);
+                });
+            }
+            decides_->playing(now, id, joinNo, at, outcome.took);
+            // Nobody waits for it any more: its place is given back at once.
+            if (!wanted)
+                decides_->joinEnded(now, id, joinNo, at, JoinEnd::Played, true, outcome.took, outcome.load);
+        });
+        if (!wanted) {
+            sender_.release(id, at);
+            drop(id, "left");
+        } else if (subs_.count(id)) {
+            figures(id, at, outcome.load.linkUse, outcome.load.uplinkUse);
+        }
+        return;
+    }
+    const bool over = sub.left || sub.state == State::Answered;
+    // A try that may have run and is given up on leaves nothing behind if that can be helped.
+    if (!outcome.neverRan) sender_.release(id, sub.at);
+    const SfuId at = sub.at;
+    tell([&] { decides_->joinEnded(now, id, joinNo, at, outcome.end, over, outcome.took, outcome.load); });
+    const auto again = subs_.find(id);
+    if (over && again != subs_.end()) drop(id, "left");
+}
+
+void Core::figures(SubId id, SfuId at, std::optional<double> link, std::optional<double> uplink) {
+    if (!link && !uplink) return;
+    const Micros now = net_.now();
+    auto& [linkAt, uplinkAt] =
+        figuresAt_.try_emplace(at, -limits_.reportEvery, -limits_.reportEvery).first->second;
+    const bool tellLink = link && now - linkAt >= limits_.reportEvery;
+    const bool tellUplink = uplink && now - uplinkAt >= limits_.reportEvery;
+    if (tellLink) linkAt = now;
+    if (tellUplink) uplinkAt = now;
+    tell([&] {
+        if (tellLink) decides_->linkUse(now, id, at, *link);
+        if (tellUplink) decides_->uplinkUse(now, id, at, *uplink);
+    });
+}
+
+void Core::report() {
+    const Micros now = net_.now();
+    for (const Delivery::Told& t : delivery_.told(now))
+        tell([&] { decides_->shareDelivered(now, t.sub, t.at, t.share); });
+    reportTimer_.after(delivery_.window());
+}
+
+// ================= from the list =================
+
+void Core::listed(std::span<const ListedSfu> all, bool stale) {
+    tell([&] { decides_->listed(net_.now(), all, stale); });
+}
+void Core::listChanged(std::span<const ListedSfu> some) {
+    tell([&] { decides_->listChanged(net_.now(), some); });
+}
+void Core::listFailed() {
+    tell([&] { decides_->listFailed(net_.now()); });
+}
+
+// ================= Host =================
+
+void Core::join(SubId id, SfuId at, Micros timeOut) {
+    const auto it = subs_.find(id);
+    // One join out, and none after an answer: the module holds to it; this is where it would show.
+    if (it == subs_.end() || it->second.joinOut || it->second.plays) return;
+    Sub& sub = it->second;
+    sub.at = at;
+    sub.joinOut = true;
+    sub.joinedAt = net_.now();
+    const int joinNo = sub.joins++;
+    ++counts_.joins;
+    const Micros until = net_.now() + timeOut;
+    after([this, id, joinNo, at, until] {
+        const auto found = subs_.find(id);
+        if (found == subs_.end()) return;
+        const Sub& s = found->second;
+        watcher_.joinSent(id, joinNo, at, s.rung, until - net_.now());
+        sender_.join(id, joinNo, at, s.rung, until - net_.now(), rooms_[s.wish.room.v].paid);
+    });
+}
+
+void Core::setRung(SubId id, int rung) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end()) return;
+    it->second.rung = rung;
+    if (!it->second.plays || it->second.left) return;
+    after([this, id, rung] {
+        const auto found = subs_.find(id);
+        if (found != subs_.end() && found->second.plays && !found->second.left)
+            found->second.face->rungSet(id, rung);
+    });
+}
+
+// The one place through which each answer goes: true for the first, and for the first only.
+bool Core::answer(SubId id, Sub& sub, std::string_view how) {
+    if (sub.state == State::Answered) return false;
+    sub.state = State::Answered;
+    sub.guard.reset();
+    --unanswered_;
+    watcher_.answered(id, how, net_.now() - sub.askedAt);
+    return true;
+}
+
+void Core::throttle(SubId id, Micros comeBack) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end() || it->second.left || !answer(id, it->second, "throttled")) return;
+    ++counts_.throttled;
+    Face* face = it->second.face;
+    after([this, face, id, comeBack] {
+        face->throttled(id, comeBack);
+        drop(id, "throttled");
+    });
+}
+
+void Core::terminate(SubId id) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end() || it->second.left || !answer(id, it->second, "terminated")) return;
+    ++counts_.terminated;
+    Face* face = it->second.face;
+    const Ended how = net_.now() >= it->second.wish.giveUpAt ? Ended::TimedOut : Ended::Terminated;
+    after([this, face, id, how] {
+        face->terminated(id, how);
+        drop(id, "terminated");
+    });
+}
+
+void Core::wakeAfter(Micros wait, const std::string& why) {
+    wakes_.emplace_back();
+    const auto it = std::prev(wakes_.end());
+    it->why = why;
+    it->timer = std::make_unique<net::Timer>(net_, [this, it] {
+        spent_ = std::move(*it);  // kept for a while: this very call lies in it
+        wakes_.erase(it);
+        const std::string why = spent_.why;
+        tell([&] { decides_->woken(net_.now(), why); });
+    });
+    it->timer->after(wait);
+}
+
+void Core::followList() {
+    after([this] { sender_.followList(); });
+}
+void Core::log(const std::string& words) {
+    watcher_.said(words);
+}
+
+// The module answers in time by itself. Should it ever not, the viewer is still owed an answer.
+void Core::guard(SubId id) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end() || it->second.state != State::Asked) return;
+    ++counts_.guarded;
+    watcher_.guarded(id);
+    Face* face = it->second.face;
+    if (!answer(id, it->second, "terminated")) return;
+    ++counts_.terminated;
+    tell([&] { decides_->viewerLeft(net_.now(), id); });
+    after([this, face, id] {
+        face->terminated(id, Ended::TimedOut);
+        const auto found = subs_.find(id);
+        if (found != subs_.end() && !found->second.joinOut) drop(id, "guarded");
+    });
+}
+
+void Core::drop(SubId id, std::string_view why) {
+    const auto it = subs_.find(id);
+    if (it == subs_.end()) return;
+    if (it->second.joinOut && it->second.left) return;
+    watcher_.over(id, why);
+    subs_.erase(it);
+}
+
+}  // namespace valekeel::core
--- /dev/null
+++ b/src/core/core.hpp
@@ -0,0 +1,168 @@
+// The core of a front: the table of subscriptions, the module's Host, the joins that are out, and the promise
+// of exactly one answer before the client timeout. It knows no protocol and opens no socket: faces call it
+// and are called back, boxes send for it. It decides nothing: the module does.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/decides.hpp"
+#include "core/delivery.hpp"
+#include "net/net.hpp"
+
+namespace valekeel::core {
+
+enum class Ended {
+    Terminated,  // its set-up failed, and may have run
+    TimedOut,    // the same, with the client timeout at hand
+};
+
+// A face, which owns the viewer's side of subscriptions. Called after the call that caused it has returned.
+class Face {
+  public:
+    virtual ~Face() = default;
+    // The three answers. Exactly one of them for each subscription that is taken, unless the face said
+    // left() before.
+    virtual void plays(SubId, SfuId, int rung) = 0;
+    virtual void throttled(SubId, Micros comeBack) = 0;  // 0: no time is named
+    virtual void terminated(SubId, Ended) = 0;
+    virtual void rungSet(SubId, int rung) = 0;  // while it plays
+    virtual void broke(SubId) = 0;              // it played, and its media server lost it
+};
+
+// How one join ended, as the sender of it found.
+struct JoinOutcome {
+    JoinEnd end = JoinEnd::Error;
+    bool neverRan = false;  // proven
+    Micros took = 0;
+    Load load;
+    std::string_view why;
+};
+
+class Core;
+
+// Who sends joins. Never calls back within join().
+class Sender {
+  public:
+    virtual ~Sender() = default;
+    virtual void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) = 0;
+    virtual void cancel(SubId, int joinNo) = 0;  // its outcome comes all the same
+    // What plays, or may, is to end there: the place is given back.
+    virtual void release(SubId, SfuId) = 0;
+    virtual void followList() = 0;
+};
+
+// For the record, at each step of a subscription's way.
+class Watcher {
+  public:
+    virtual ~Watcher() = default;
+    virtual void asked(SubId, const Wish&) {}
+    virtual void joinSent(SubId, int /*joinNo*/, SfuId, int /*rung*/, Micros /*timeOut*/) {}
+    virtual void joinEnded(SubId, int /*joinNo*/, SfuId, const JoinOutcome&) {}
+    virtual void answered(SubId, std::string_view /*how*/, Micros /*took*/) {}
+    virtual void over(SubId, std::string_view /*why*/) {}
+    virtual void guarded(SubId) {}  // the core had to answer where the module had not: a bug
+    virtual void said(const std::string&) {}
+};
+
+struct CoreLimits {
+    std::size_t subs = 100'000;      // subscriptions held at once; more are not taken
+    Micros answerMargin = 60'000;    // the module is told of a client timeout this much before it is
+    Micros reportEvery = 1'000'000;  // a media server's figures of its load are passed on no more often
+};
+
+struct Counts {
+    std::uint64_t asked = 0, played = 0, throttled = 0, terminated = 0, left = 0, broke = 0, joins = 0,
+                  guarded = 0, refusedFull = 0;
+};
+
+class Core final : public Host {
+  public:
+    // `decide` is handed this core as its Host and must not call it before it returns.
+    using Decide = std::function<std::unique_ptr<Decides>(Host&, Micros now)>;
+    Core(net::Net&, const std::vector<RoomType>&, const CoreLimits&, Micros deliveryWindow, Sender&, Watcher&,
+         const Decide&);
+    ~Core() override;
+
+    // ---- from a face ----
+    // Nothing if no more can be held: the face throttles. `clientTimeout` counts from now.
+    std::optional<SubId> ask(Face&, Wish, Micros clientTimeout);
+    void left(SubId);                   // the viewer is gone; nothing more is said of it
+    void rungFetched(SubId, int rung);  // the first segment of a rung was asked for
+    void lost(SubId, JoinEnd);          // its media server broke while it played
+
+    // ---- from what is sent ----
+    void joined(SubId, int joinNo, const JoinOutcome&);
+    void figures(SubId, SfuId, std::optional<double> linkUse, std::optional<double> uplinkUse);
+    Delivery& delivery() { return delivery_; }
+
+    // ---- from the list ----
+    void listed(std::span<const ListedSfu>, bool stale);
+    void listChanged(std::span<const ListedSfu>);
+    void listFailed();
+
+    const Counts& counts() const { return counts_; }
+    std::size_t held() const { return subs_.size(); }
+    std::size_t unanswered() const { return unanswered_; }
+
+  private:
+    enum class State { Asked, Answered };
+    struct Sub {
+        Face* face;
+        Wish wish;
+        State state = State::Asked;
+        Micros askedAt = 0;
+        int joins = 0;
+        bool joinOut = false, plays = false, left = false;
+        SfuId at;
+        int rung = 0;
+        Micros playsSince = 0, joinedAt = 0;
+        std::unique_ptr<net::Timer> guard;
+    };
+
+    // ---- Host ----
+    void join(SubId, SfuId, Micros timeOut) override;
+    void setRung(SubId, int rung) override;
+    void throttle(SubId, Micros comeBack) override;
+    void terminate(SubId) override;
+    void wakeAfter(Micros, const std::string& why) override;
+    void followList() override;
+    void log(const std::string&) override;
+
+    template <class Call>
+    void tell(Call&&);
+    void after(std::function<void()>);
+    bool answer(SubId, Sub&, std::string_view how);
+    void drop(SubId, std::string_view why);
+    void guard(SubId);
+    void report();
+
+    net::Net& net_;
+    std::vector<RoomType> rooms_;
+    CoreLimits limits_;
+    Delivery delivery_;
+    Sender& sender_;
+    Watcher& watcher_;
+    std::map<SubId, Sub> subs_;
+    std::uint32_t nextSub_ = 1;
+    std::size_t unanswered_ = 0;
+    Counts counts_;
+    std::map<SfuId, std::pair<Micros, Micros>> figuresAt_;  // link, uplink
+    struct Wake {
+        std::unique_ptr<net::Timer> timer;
+        std::string why;
+    };
+    std::list<Wake> wakes_;
+    Wake spent_;
+    std::deque<std::function<void()>> after_;
+    int telling_ = 0;
+    bool draining_ = false;
+    net::Timer reportTimer_;
+    std::unique_ptr<Decides> decides_;
+};
+
+}  // namespace valekeel::core
--- /dev/null
+++ b/src/list/list.cpp
@@ -0,0 +1,125 @@
+#include "list/list.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "settings/reading.hpp"
+
+namespace valekeel::list {
+namespace {
+
+// Days since 1970 of a date of the proleptic Gregorian calendar.
+std::int64_t daysOf(std::int64_t y, int m, int d) {
+    y -= m <= 2;
+    const std::int64_t era = (y >= 0 ? y : y - 399) / 400;
+    const std::int64_t yoe = y - era * 400;
+    const std::int64_t doy = (153 * (m + (m > 2 ? -3 : 9)) + 2) / 5 + d - 1;
+    return era * 146097 + yoe * 365 + yoe / 4 - yoe / 100 + doy - 719468;
+}
+
+// RFC 3339 in UTC, to the microsecond.
+std::optional<Micros> instantOf(const std::string& text) {
+    int y, mo, d, h, mi, s, used = 0;
+    if (std::sscanf(text.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d%n", &y, &mo, &d, &h, &mi, &s, &used) != 6 ||
+        used < 16)
+        return std::nullopt;
+    if (mo < 1 || mo > 12 || d < 1 || d > 31 || h > 23 || mi > 59 || s > 60 || h < 0 || mi < 0 || s < 0)
+        return std::nullopt;
+    std::size_t i = static_cast<std::size_t>(used);
+    Micros part = 0, unit = 100'000;
+    if (i < text.size() && text[i] == '.')
+        for (++i; i < text.size() && text[i] >= '0' && text[i] <= '9'; ++i, unit /= 10)
+            part += unit * (text[i] - '0');
+    if (text.substr(i) != "Z") return std::nullopt;
+    return ((daysOf(y, mo, d) * 24 + h) * 60 + mi) * 60 * kSecond + s * kSecond + part;
+}
+
+}  // namespace
+
+BoxList parseList(const std::string& file, const std::string& text, const std::vector<std::string>& kinds,
+                  const ListLimits& limits) {
+    const settings::Document document = settings::Document::fromText(file, text);
+    if (text.size() > limits.bytes)
+        document.wrong({}, "the list is longer than " + std::to_string(limits.bytes) + " bytes");
+    settings::Cursor top(document);
+    BoxList out;
+    if (auto version = top.one("version")) {
+        const auto number = version->numbers("the version", 0, 9e15);
+        out.version = static_cast<std::int64_t>(number.front());
+        version->finish();
+    }
+    std::set<std::uint32_t> seen;
+    std::set<std::string, std::less<>> known(kinds.begin(), kinds.end());
+    for (settings::Cursor& box : top.each("box")) {
+        if (out.boxes.size() >= limits.boxes)
+            box.wrong("the list names more than " + std::to_string(limits.boxes) + " boxes");
+        BoxLine line;
+        const auto id = box.numbers("a box's number", 0, 4294967295.0);
+        if (id.size() != 1 || id[0] != static_cast<double>(static_cast<std::uint32_t>(id[0])))
+            box.wrong("'box' is followed by one whole number");
+        line.sfu.id = SfuId{static_cast<std::uint32_t>(id[0])};
+        if (!seen.insert(line.sfu.id.v).second)
+            box.wrong("box " + std::to_string(line.sfu.id.v) + " stands here a second time");
+        const std::string standing = box.choice("standing", {"on", "fading", "off"}, "on");
+        line.sfu.standing = standing == "on"       ? Standing::On
+                            : standing == "fading" ? Standing::Fading
+                                                   : Standing::Off;
+        if (line.sfu.standing != Standing::Off || box.has("at")) line.at = box.address("at");
+        line.sfu.cell = Cell{static_cast<std::uint32_t>(box.whole("cell", 0, 1'000'000, 0))};
+        line.sfu.size = box.number("size", 0.001, 1'000'000, 1);
+        const std::string kind = box.text("kind", kinds.empty() ? "" : kinds.front());
+        const auto place = std::find(kinds.begin(), kinds.end(), kind);
+        if (place == kinds.end() && !kinds.empty()) {
+            const std::string near = settings::nearest(kind, known);
+            box.wrongOf("kind", "a kind of machine '" + kind + "' is not in the settings" +
+                                    (near.empty() ? "" : "; did you mean '" + near + "'?"));
+        }
+        line.sfu.kind = KindId{static_cast<std::uint32_t>(place - kinds.begin())};
+        if (box.has("launched")) {
+            const std::string launched = box.text("launched", "");
+            const auto at = instantOf(launched);
+            if (!at) box.wrongOf("launched", "a time in UTC is expected, as \"2026-12-01T09:00:00Z\"");
+            line.sfu.launched = *at;
+        }
+        if (box.has("launched-us")) line.sfu.launched = box.whole("launched-us", 0, 4'000'000'000'000'000);
+        box.finish();
+        out.boxes.push_back(line);
+    }
+    top.finish();
+    return out;
+}
+
+std::string writeList(const BoxList& list, const std::vector<std::string>& kinds) {
+    std::vector<settings::Node> nodes;
+    const auto number = [](std::int64_t v) {
+        return settings::Value{
+            std::nullopt, settings::Number{std::to_string(v), static_cast<double>(v), v}, {}};
+    };
+    const auto text = [](std::string v) { return settings::Value{std::nullopt, std::move(v), {}}; };
+    settings::Node version;
+    version.name = "version";
+    version.arguments.push_back(number(list.version));
+    nodes.push_back(version);
+    for (const BoxLine& line : list.boxes) {
+        settings::Node box;
+        box.name = "box";
+        box.arguments.push_back(number(line.sfu.id.v));
+        const auto put = [&](const char* name, settings::Value v) {
+            box.properties.emplace_back(name, std::move(v));
+        };
+        if (line.at.port != 0) put("at", text(net::text(line.at)));
+        put("standing", text(line.sfu.standing == Standing::On       ? "on"
+                             : line.sfu.standing == Standing::Fading ? "fading"
+                                                                     : "off"));
+        put("cell", number(line.sfu.cell.v));
+        if (line.sfu.kind.v < kinds.size()) put("kind", text(kinds[line.sfu.kind.v]));
+        char size[32];
+        std::snprintf(size, sizeof size, "%.6g", line.sfu.size);
+        put("size", settings::Value{std::nullopt, settings::Number{size, line.sfu.size, std::nullopt}, {}});
+        if (line.sfu.launched > 0) put("launched-us", number(line.sfu.launched));
+        nodes.push_back(std::move(box));
+    }
+    return settings::printKdl(nodes);
+}
+
+}  // namespace valekeel::list
--- /dev/null
+++ b/src/list/list.hpp
@@ -0,0 +1,37 @@
+// The list of media servers as text, in KDL:
+//     version 17
+//     box 3 at="127.0.0.1:9003" standing="on" cell=2 kind="c2-s10" size=1.0 launched="2026-12-01T09:00:00Z"
+// `launched` may also be microseconds since 1970. The same form serves the watched file, the stream's events
+// and the copy kept on disk.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "model/records.hpp"
+#include "net/address.hpp"
+
+namespace valekeel::list {
+
+struct BoxLine {
+    ListedSfu sfu;     // `launched` on the wall clock
+    net::Endpoint at;  // of no use where it is off
+};
+
+struct BoxList {
+    std::int64_t version = 0;
+    std::vector<BoxLine> boxes;
+};
+
+struct ListLimits {
+    std::size_t boxes = 4'096;
+    std::size_t bytes = 1'000'000;
+};
+
+// Throws settings::Wrong. `kinds`: names of machine kinds, in the order of the settings.
+BoxList parseList(const std::string& file, const std::string& text, const std::vector<std::string>& kinds,
+                  const ListLimits&);
+std::string writeList(const BoxList&, const std::vector<std::string>& kinds);
+
+}  // namespace valekeel::list
--- /dev/null
+++ b/src/record/trace.cpp
@@ -0,0 +1,50 @@
+#include "record/trace.hpp"
+
+#include <algorithm>
+
+namespace valekeel::record {
+namespace {
+
+bool lowerHex(std::string_view text) {
+    return std::all_of(text.begin(), text.end(),
+                       [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+}
+bool zero(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](char c) { return c == '0'; });
+}
+int digit(char c) {
+    return c <= '9' ? c - '0' : c - 'a' + 10;
+}
+
+}  // namespace
+
+std::string hex64(std::uint64_t v) {
+    static constexpr char kHex[] = "0123456789abcdef";
+    std::string out(16, '0');
+    for (std::size_t i = 16; i-- > 0; v >>= 4) out[i] = kHex[v & 15];
+    return out;
+}
+
+std::optional<TraceContext> parseTraceParent(std::string_view text) {
+    if (text.size() < 55 || text[2] != '-' || text[35] != '-' || text[52] != '-') return std::nullopt;
+    const auto version = text.substr(0, 2), trace = text.substr(3, 32), parent = text.substr(36, 16),
+               flags = text.substr(53, 2);
+    if (!lowerHex(version) || !lowerHex(trace) || !lowerHex(parent) || !lowerHex(flags)) return std::nullopt;
+    if (version == "ff" || (version == "00" && text.size() != 55)) return std::nullopt;
+    if (text.size() > 55 && text[55] != '-') return std::nullopt;  // a later version may say more
+    if (zero(trace) || zero(parent)) return std::nullopt;
+    return TraceContext{std::string(trace), std::string(parent),
+                        static_cast<std::uint8_t>(digit(flags[0]) * 16 + digit(flags[1]))};
+}
+
+std::string write(const TraceContext& c) {
+    return "00-" + c.trace + "-" + c.parent + "-" + hex64(c.flags).substr(14);
+}
+
+TraceContext newTrace(std::uint64_t a, std::uint64_t b, std::uint64_t c) {
+    if (a == 0 && b == 0) a = 1;
+    if (c == 0) c = 1;
+    return {hex64(a) + hex64(b), hex64(c), 1};
+}
+
+}  // namespace valekeel::record
