--- /dev/null
+++ b/src/audit/audit.hpp
@@ -0,0 +1,49 @@
+// The six rules, judged from what the stand-ins saw and from nothing else. Each check is a function of the
+// ledger, so that it can itself be tested with ledgers that break it.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "model/ids.hpp"
+#include "standins/ledger.hpp"
+
+namespace valekeel::audit {
+
+struct Terms {
+    struct Room {
+        Micros clientTimeout = 0;
+        bool paid = false;
+        int floor = 0, seats = 0;
+    };
+    std::map<std::string, Room> rooms;
+    Micros drainGrace = 500'000;
+    // Cold boxes.
+    Micros warmUp = 0, tipAfter = kSecond;
+    double firstShare = 1, fallMultiple = 1e9;
+    // Further joins.
+    bool budgeted = false;
+    double budgetFree = 0, budgetShare = 0;
+    Micros budgetWindow = 0;
+    // What differs between the two ends of a socket: time on the way, and in the stand-ins' own loop.
+    Micros onTheWay = 100'000;
+};
+
+struct Breach {
+    int rule = 0;
+    std::string what;  // with the trace ids that show it
+};
+
+// `down`: when a front was not running, by name: from and until.
+using Down = std::multimap<std::string, std::pair<Micros, Micros>>;
+
+std::vector<Breach> oneAnswer(const standins::Ledger&, const Terms&, const Down&);
+std::vector<Breach> noSetUpTwice(const standins::Ledger&, const Terms&);
+std::vector<Breach> drainsKept(const standins::Ledger&, const Terms&);
+std::vector<Breach> coldSpared(const standins::Ledger&, const Terms&);
+std::vector<Breach> termsKept(const standins::Ledger&, const Terms&);
+std::vector<Breach> budgetKept(const standins::Ledger&, const Terms&);
+std::vector<Breach> all(const standins::Ledger&, const Terms&, const Down&);
+
+}  // namespace valekeel::audit
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,390 @@
+// valekeel SUBCOMMAND: arguments, exit codes, and putting the parts together. Exit codes: 0 done; 1 a rule
+// was broken or something was found wrong; 2 the call or the settings are wrong; 3 something outside failed.
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+#include "front/front.hpp"
+#include "net/epoll.hpp"
+#include "net/process.hpp"
+#include "rehearse/baselines.hpp"
+#include "rehearse/drill.hpp"
+#include "standins/list.hpp"
+
+namespace valekeel::cli {
+namespace {
+
+constexpr int kDone = 0, kFound = 1, kWrongCall = 2, kOutside = 3;
+constexpr const char* kVersion = "0.2.0";
+
+std::uint64_t someSeed() {
+    std::random_device chance;
+    return std::uint64_t{chance()} << 32 | chance();
+}
+
+int serve(const std::string& file, std::uint64_t seed, const std::string& portFile,
+          const std::string& decisions) {
+    const auto document = settings::Document::fromFile(file);
+    net::raiseDescriptorLimit();
+    const std::uint64_t used = seed ? seed : someSeed();
+    net::EpollNet real(used);
+    const front::OtherDecide other = decisions.empty() ? front::OtherDecide{} : rehearse::baseline(decisions);
+    front::Front front(real, document, used, static_cast<std::uint64_t>(real.wallNow() / 1000), other);
+    std::fprintf(stderr, "valekeel: serving on http://%s\n", net::text(front.http()).c_str());
+    if (!portFile.empty()) {
+        {
+            std::ofstream out(portFile + ".new");
+            out << net::text(front.http()) << "\n";
+        }
+        std::filesystem::rename(portFile + ".new", portFile);
+    }
+    int stops = 0;
+    real.onSignals({SIGTERM, SIGINT}, [&](int) {
+        if (++stops > 1) return real.stop();  // asked twice: at once
+        std::fprintf(stderr, "valekeel: stopping; what was taken is answered first\n");
+        front.stop(front.stopWithin(), [&] { real.stop(); });
+    });
+    real.run();
+    return kDone;
+}
+
+int check(const std::string& file, bool print) {
+    const auto document = settings::Document::fromFile(file);
+    front::Front::check(document);
+    if (print)
+        std::cout << settings::printKdl(document.nodes());
+    else
+        std::cout << file << ": in order\n";
+    return kDone;
+}
+
+// Boxes as stand-ins, with their list beside them as a file.
+int boxes(const std::string& site, int count, int firstPort, double linkKb, const std::string& listFile,
+          const std::string& ledgerFile, Micros length) {
+    const auto document = settings::Document::fromFile(site);
+    settings::Cursor top(document);
+    const Ladder ladder = settings::readLadder(top);
+    const settings::RoomTypes rooms = settings::readRoomTypes(top, ladder);
+    const settings::Machines machines = settings::readMachines(top);
+    net::raiseDescriptorLimit();
+    net::EpollNet net(7);
+    standins::Ledger ledger;
+    standins::BoxMake make;
+    make.rungKb = ladder.kb;
+    for (const RoomType& r : rooms.types) make.rateFactors[r.name] = r.rateFactor;
+    standins::BoxFleet fleet(net, make, machines.fleet.racks, machines.fleet.uplinkKb, 7, ledger);
+    list::BoxList told;
+    told.version = 1;
+    for (int id = 0; id < count; ++id) {
+        auto at = *net::endpointOf("127.0.0.1:0");
+        if (firstPort > 0) at.port = static_cast<std::uint16_t>(firstPort + id);
+        const double link = linkKb > 0 ? linkKb : std::max(1.0, machines.fleet.linkKbPerSize);
+        standins::Box& box =
+            fleet.add(id, id % machines.fleet.cells, link, machines.fleet.places.front(), at);
+        list::BoxLine line;
+        line.sfu.id = SfuId{static_cast<std::uint32_t>(id)};
+        line.sfu.cell = Cell{static_cast<std::uint32_t>(box.cell())};
+        line.at = box.at();
+        told.boxes.push_back(line);
+        std::cerr << "valekeel: box " << id << " on " << net::text(box.at()) << "\n";
+    }
+    list::keepList(listFile, told, machines.kinds);
+    net.onSignals({SIGTERM, SIGINT}, [&](int) { net.stop(); });
+    net::Timer end(net, [&] { net.stop(); });
+    if (length > 0) end.after(length);
+    net.run();
+    if (!ledgerFile.empty()) {
+        std::ofstream out(ledgerFile);
+        ledger.write(out);
+    }
+    return kDone;
+}
+
+// The list as a stream of server-sent events, out of a file in the list's own form.
+int serveList(const std::string& file, const std::string& listen) {
+    const auto at = net::endpointOf(listen);
+    if (!at) throw std::invalid_argument("--listen takes an address and port, as 127.0.0.1:9000");
+    net::EpollNet net(5);
+    standins::Ledger ledger;
+    standins::ListServer server(net, *at, ledger);
+    std::string last;
+    net::Timer look(net, [&] {
+        look.after(200'000);
+        std::ifstream in(file, std::ios::binary);
+        std::ostringstream text;
+        text << in.rdbuf();
+        if (text.str() == last || text.str().empty()) return;
+        last = text.str();
+        const auto document = settings::Document::fromText(file, last);
+        settings::Cursor top(document);
+        top.one("version");
+        std::vector<standins::ListedBox> all;
+        for (settings::Cursor& node : top.each("box")) {
+            standins::ListedBox box;
+            box.id = static_cast<int>(node.numbers("a box's number", 0, 1e9).front());
+            box.at = node.text("at", "");
+            box.standing = node.choice("standing", {"on", "fading", "off"}, "on");
+            box.cell = static_cast<int>(node.whole("cell", 0, 1'000'000, 0));
+            box.kind = node.text("kind", "");
+            box.size = node.number("size", 0.001, 1e6, 1);
+            box.launchedWall = node.whole("launched-us", 0, 4'000'000'000'000'000, 0);
+            node.finish();
+            all.push_back(box);
+        }
+        server.put(all);
+    });
+    look.after(0);
+    std::cerr << "valekeel: list on http://" << net::text(server.at()) << "/boxes\n";
+    net.onSignals({SIGTERM, SIGINT}, [&](int) { net.stop(); });
+    net.run();
+    return kDone;
+}
+
+int play(const std::string& frontText, const std::string& title, const std::string& room, int count,
+         Micros watch, const std::string& ledgerFile) {
+    const auto front = net::endpointOf(frontText);
+    if (!front) throw std::invalid_argument("--front takes an address and port, as 127.0.0.1:8080");
+    net::raiseDescriptorLimit();
+    net::EpollNet net(11);
+    standins::Ledger ledger;
+    std::vector<std::unique_ptr<standins::Player>> players;
+    int active = count;
+    for (int i = 0; i < count; ++i) {
+        standins::PlayerPlan plan;
+        plan.title = title;
+        plan.room.name = room;
+        plan.room.clientTimeout = 5 * kSecond;
+        plan.watch = watch;
+        players.push_back(std::make_unique<standins::Player>(
+            net, i, plan,
+            [&] {
+                return standins::Player::FrontAt{"front", *front};
+            },
+            100 + i, std::vector<double>{}, ledger,
+            [&](standins::Player&) {
+                if (--active == 0) net.stop();
+            }));
+        players.back()->start();
+    }
+    if (active > 0) net.run();
+    std::uint64_t segments = 0;
+    std::map<int, int> answers;
+    for (const standins::Line& l : ledger.lines()) {
+        if (l.what == "segment") ++segments;
+        if (l.what == "answer") ++answers[l.status];
+        if (l.what == "no-answer") ++answers[0];
+    }
+    for (const auto& [status, many] : answers)
+        std::cout << (status ? "answered " + std::to_string(status) : std::string("not answered")) << ": "
+                  << many << "\n";
+    std::cout << "segments played: " << segments << "\n";
+    if (!ledgerFile.empty()) {
+        std::ofstream out(ledgerFile);
+        ledger.write(out);
+    }
+    return answers.size() == 1 && answers.begin()->first == 200 ? kDone : kFound;
+}
+
+int drillDay(const std::string& file, const std::string& decisions, std::string folder,
+             const std::string& ledgerFile, bool quiet) {
+    const auto document = settings::Document::fromFile(file);
+    const rehearse::Day day = rehearse::readDay(document);
+    const bool own = folder.empty();
+    if (own)
+        folder = (std::filesystem::temp_directory_path() /
+                  ("valekeel-drill-" + std::to_string(std::rand()) + "-" +
+                   std::to_string(std::chrono::steady_clock::now().time_since_epoch().count())))
+                     .string();
+    std::filesystem::create_directories(folder);
+    rehearse::DrillWays ways;
+    ways.program = net::ownProgram();
+    ways.folder = folder;
+    ways.decisions = decisions;
+    if (!quiet) ways.say = [](const std::string& words) { std::cerr << "drill: " << words << std::endl; };
+    standins::Ledger ledger;
+    const rehearse::DrillResult result = rehearse::drill(day, ways, ledger);
+    std::cout << rehearse::told(result);
+    if (!ledgerFile.empty()) {
+        std::ofstream out(ledgerFile);
+        ledger.write(out);
+    }
+    if (own && result.breaches.empty())
+        std::filesystem::remove_all(folder);
+    else
+        std::cerr << "drill: settings and logs are in " << folder << "\n";
+    return result.breaches.empty() ? kDone : kFound;
+}
+
+int listTroubles() {
+    for (const rehearse::TroubleKind& k : rehearse::troubleKinds()) {
+        std::string takes;
+        for (const std::string& t : k.takes) takes += (takes.empty() ? "" : " ") + t;
+        std::printf("%-17s %s\n%-17s takes: %s%s\n", k.name.c_str(), k.what.c_str(), "",
+                    takes.empty() ? "-" : takes.c_str(),
+                    k.benchName.empty() ? "" : ("; on the bench: " + k.benchName).c_str());
+    }
+    return kDone;
+}
+
+// The way of one request, out of structured logs.
+int trace(const std::string& id, const std::vector<std::string>& files) {
+    struct Step {
+        Micros wall;
+        std::string text;
+    };
+    std::vector<Step> steps;
+    for (const std::string& file : files) {
+        std::ifstream in(file);
+        if (!in) throw std::runtime_error(file + ": cannot be read");
+        std::string text, front = file;
+        while (std::getline(in, text)) {
+            const auto j = nlohmann::json::parse(text, nullptr, false);
+            if (!j.is_object()) continue;
+            if (j.value("what", "") == "started") front = j.value("front", file);
+            if (j.value("trace", "").compare(0, id.size(), id) != 0 || !j.contains("trace")) continue;
+            std::string out = front + "  " + j.value("what", "");
+            for (const auto& [key, value] : j.items()) {
+                if (key == "t" || key == "wall" || key == "level" || key == "what" || key == "trace")
+                    continue;
+                out += "  " + key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+            }
+            steps.push_back({j.value("wall", Micros{0}), out});
+        }
+    }
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const Step& a, const Step& b) { return a.wall < b.wall; });
+    if (steps.empty()) {
+        std::cerr << "valekeel: no line names trace " << id << "\n";
+        return kFound;
+    }
+    for (const Step& s : steps)
+        std::printf("%+10.3f ms  %s\n", static_cast<double>(s.wall - steps.front().wall) / 1000,
+                    s.text.c_str());
+    return kDone;
+}
+
+Micros timeArgument(const std::string& text) {
+    const auto t = settings::timeOf(text);
+    if (!t) throw std::invalid_argument("'" + text + "' is no time: 500ms, 20s and 5min are");
+    return *t;
+}
+
+int run(int argc, char** argv) {
+    CLI::App app{"valekeel places and shapes video sessions on streaming servers."};
+    app.require_subcommand(1);
+    app.footer("Example: valekeel serve deploy/example/site.kdl");
+    std::function<int()> chosen;
+
+    std::string file, portFile, decisions, listFile = "boxes.kdl", ledger, frontText = "127.0.0.1:8080",
+                                           title, room;
+    std::string folder, listen = "127.0.0.1:9000", id, watch = "10s", lasts = "0s";
+    std::vector<std::string> files;
+    std::uint64_t seed = 0;
+    int count = 3, port = 0, players = 1;
+    double linkKb = 0;
+    bool print = false, quiet = false, list = false;
+
+    auto* s = app.add_subcommand("serve", "run a front");
+    s->add_option("settings", file, "its settings, in KDL")->required();
+    s->add_option("--seed", seed, "of its chance; drawn where it is not given");
+    s->add_option("--port-file", portFile, "written with its address once it listens");
+    s->add_option("--decisions", decisions, "a baseline in place of the module, for drills")->group("");
+    s->footer("Example: valekeel serve deploy/example/site.kdl");
+    s->callback([&] { chosen = [&] { return serve(file, seed, portFile, decisions); }; });
+
+    auto* c = app.add_subcommand("check", "check settings, and start nothing");
+    c->add_option("settings", file, "in KDL")->required();
+    c->add_flag("--print", print, "print back what was read");
+    c->footer("Example: valekeel check deploy/example/site.kdl");
+    c->callback([&] { chosen = [&] { return check(file, print); }; });
+
+    auto* b = app.add_subcommand("box", "run stand-in boxes on loopback, and write their list");
+    b->add_option("settings", file, "of the site they belong to")->required();
+    b->add_option("--count", count, "of boxes")->check(CLI::Range(1, 10'000));
+    b->add_option("--port", port, "of the first; 0: any");
+    b->add_option("--link-kb", linkKb, "kB a second of each link");
+    b->add_option("--list", listFile, "where their list is written");
+    b->add_option("--ledger", ledger, "written at the end");
+    b->add_option("--for", lasts, "how long; 0s: until stopped");
+    b->footer("Example: valekeel box deploy/example/site.kdl --count 3 --list boxes.kdl");
+    b->callback([&] {
+        chosen = [&] { return boxes(file, count, port, linkKb, listFile, ledger, timeArgument(lasts)); };
+    });
+
+    auto* l = app.add_subcommand("list", "serve a list of boxes as a stream, from a file that is watched");
+    l->add_option("file", file, "the list, in KDL")->required();
+    l->add_option("--listen", listen, "address and port");
+    l->footer("Example: valekeel list boxes.kdl --listen 127.0.0.1:9000");
+    l->callback([&] { chosen = [&] { return serveList(file, listen); }; });
+
+    auto* p = app.add_subcommand("play", "play a talk with scripted players");
+    p->add_option("title", title, "of the talk")->required();
+    p->add_option("--front", frontText, "address and port");
+    p->add_option("--room", room, "room type")->required();
+    p->add_option("--players", players, "how many")->check(CLI::Range(1, 100'000));
+    p->add_option("--watch", watch, "how long");
+    p->add_option("--ledger", ledger, "written at the end");
+    p->footer("Example: valekeel play keynote --room release-talk --watch 5s");
+    p->callback(
+        [&] { chosen = [&] { return play(frontText, title, room, players, timeArgument(watch), ledger); }; });
+
+    auto* d = app.add_subcommand("drill", "play a scripted day against real fronts, and judge the rules");
+    d->add_option("day", file, "the day, in KDL");
+    d->add_flag("--list", list, "show the kinds of trouble");
+    d->add_option("--decisions", decisions, "random or least-load, in place of the module")
+        ->check(CLI::IsMember({"random", "least-load"}));
+    d->add_option("--folder", folder, "for settings and logs; kept");
+    d->add_option("--ledger", ledger, "written at the end");
+    d->add_flag("--quiet", quiet, "only the result");
+    d->footer("Example: valekeel drill days/bad.kdl");
+    d->callback([&] {
+        chosen = [&] {
+            if (list) return listTroubles();
+            if (file.empty()) throw std::invalid_argument("drill needs a day, or --list");
+            return drillDay(file, decisions, folder, ledger, quiet);
+        };
+    });
+
+    auto* t = app.add_subcommand("trace", "print the way of one request, out of logs");
+    t->add_option("id", id, "trace id, or its beginning")->required();
+    t->add_option("logs", files, "of fronts")->required();
+    t->footer("Example: valekeel trace 4bf92f3577b34da6 front.log");
+    t->callback([&] { chosen = [&] { return trace(id, files); }; });
+
+    app.add_subcommand("version", "print the version")->callback([&] {
+        chosen = [&] {
+            std::cout << "valekeel " << kVersion << "\n";
+            return kDone;
+        };
+    });
+
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? kDone : kWrongCall;
+    }
+    try {
+        return chosen();
+    } catch (const settings::Wrong& e) {
+        std::cerr << e.what() << "\n";
+        return kWrongCall;
+    } catch (const std::invalid_argument& e) {
+        std::cerr << "valekeel: " << e.what() << "\n";
+        return kWrongCall;
+    } catch (const std::exception& e) {
+        std::cerr << "valekeel: " << e.what() << "\n";
+        return kOutside;
+    }
+}
+
+}  // namespace
+}  // namespace valekeel::cli
+
+int main(int argc, char** argv) {
+    return valekeel::cli::run(argc, argv);
+}
--- /dev/null
+++ b/src/faces/http/face.cpp
@@ -0,0 +1,778 @@
+#include "faces/http/face.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace valekeel::faces {
+namespace {
+
+constexpr std::string_view kPlaylistType = "application/vnd.apple.mpegurl";
+
+std::string wholeSecondsUp(Micros t) {
+    return std::to_string(std::max<Micros>(1, (t + kSecond - 1) / kSecond));
+}
+
+}  // namespace
+
+struct HttpFace::Viewer {
+    std::string token, sidKey, title;
+    SubId sub;
+    RoomTypeId room;
+    std::uint32_t network = 0;
+    bool inGate = false, playing = false, paused = false, changed = false;
+    record::TraceContext trace;
+    hints::Cmcd hints;
+    SfuId at;
+    int rung = 0, rungSeen = 0;
+    Micros startedAt = 0;
+    std::optional<Micros> delivered;  // kbit/s, of the last segment
+    Window window;
+    std::vector<std::unique_ptr<Waiter>> waiters;
+    std::size_t fetches = 0, connections = 0;
+    std::uint64_t segments = 0, bytes = 0;
+    std::unique_ptr<net::Timer> silence;
+    Viewer(const WindowTerms& terms) : window(terms) {}
+};
+
+// A request that waits for its subscription's answer.
+class HttpFace::Waiter final : public http::ExchangeUser {
+  public:
+    Waiter(HttpFace& face, std::string token, http::Exchange& exchange)
+        : face_(face), token_(std::move(token)), exchange_(&exchange) {
+        exchange.heldBy(this);
+    }
+    ~Waiter() override {
+        if (exchange_) exchange_->heldBy(nullptr);
+    }
+    http::Exchange* release() { return std::exchange(exchange_, nullptr); }
+
+  private:
+    void gone() override {
+        exchange_ = nullptr;
+        // Once the last connection that waits is lost, the viewer may still come back by its sid.
+        if (Viewer* viewer = face_.byToken(token_)) viewer->silence->after(face_.terms_.closedAfter);
+    }
+    HttpFace& face_;
+    std::string token_;
+    http::Exchange* exchange_;
+};
+
+// One fetch from a box for a viewer: the playlist first, where it isn't known, then what was asked for.
+class HttpFace::Relay final : public boxes::RequestUser, public http::ExchangeUser {
+  public:
+    enum class What { Window, Init, Segment };
+    Relay(HttpFace& face, std::uint64_t key, Viewer& viewer, http::Exchange& exchange, What what,
+          std::uint64_t no, int rung)
+        : face_(face),
+          key_(key),
+          token_(viewer.token),
+          sub_(viewer.sub),
+          at_(viewer.at),
+          title_(viewer.title),
+          what_(what),
+          no_(no),
+          rung_(rung),
+          exchange_(&exchange) {
+        exchange.heldBy(this);
+        ++viewer.fetches;
+    }
+    ~Relay() override {
+        if (exchange_) exchange_->heldBy(nullptr);
+        if (Viewer* viewer = face_.byToken(token_)) --viewer->fetches;
+        face_.core_.delivery().forget(core::FetchId{key_});
+    }
+    void start() {
+        Viewer* viewer = face_.byToken(token_);
+        if (!viewer) return end(410, "the subscription is over");
+        const auto known = face_.cache_.find({title_, rung_});
+        if (known == face_.cache_.end()) {
+            const auto* answer = face_.joins_.answerOf(sub_);
+            if (!answer) return end(410, "the subscription is over");
+            playlist_ = true;
+            path_ =
+                hls::resolved(answer->path, answer->variants.variants[static_cast<std::size_t>(rung_)].uri)
+                    .value_or("");
+            if (path_.empty()) return end(502, "the box's playlist leads elsewhere");
+            send(path_, std::nullopt);
+            return;
+        }
+        Cached& cached = known->second;
+        cached.usedAt = ++face_.cacheUse_;
+        if (what_ == What::Window) {
+            http::Exchange* exchange = std::exchange(exchange_, nullptr);
+            exchange->heldBy(nullptr);
+            face_.sendWindow(*exchange, *viewer);
+            return over();
+        }
+        const hls::Segment* segment =
+            no_ < cached.list.segments.size() ? &cached.list.segments[no_] : nullptr;
+        std::string uri;
+        std::optional<hls::Range> range;
+        if (what_ == What::Segment) {
+            if (!segment) return end(404, "the talk has no such segment");
+            uri = segment->uri;
+            range = segment->range;
+            playTime_ = segment->duration;
+        } else {
+            if (cached.list.maps.empty()) return end(404, "the talk has no such map");
+            uri = cached.list.maps.front().uri;
+            range = cached.list.maps.front().range;
+        }
+        const auto path = hls::resolved(cached.path, uri);
+        if (!path) return end(502, "the box's playlist leads elsewhere");
+        send(*path, range);
+    }
+
+  private:
+    void send(const std::string& path, const std::optional<hls::Range>& range) {
+        Viewer* viewer = face_.byToken(token_);
+        http::Fields fields;
+        if (viewer) {
+            hints::Cmcd on = viewer->hints;
+            on.ot = what_ == What::Segment && !playlist_ ? "av"
+                    : what_ == What::Init && !playlist_  ? "i"
+                                                         : "m";
+            for (std::size_t i = 0; i < hints::kCmcdHeaders.size(); ++i) {
+                const std::string value = hints::writeCmcdHeader(on, i);
+                if (!value.empty()) fields.add(hints::kCmcdHeaders[i], value);
+            }
+            record::TraceContext trace = viewer->trace;
+            trace.parent = record::hex64(face_.net_.draw() | 1);
+            fields.add("traceparent", record::write(trace));
+        }
+        if (range)
+            fields.add("Range", "bytes=" + std::to_string(range->offset) + "-" +
+                                    std::to_string(range->offset + range->length - 1));
+        wanted_ = range ? 206 : 200;
+        sentAt_ = face_.net_.now();
+        path_ = path;
+        range_ = range;
+        const std::string sub =
+            (path.find('?') == std::string::npos ? "?sub=" : "&sub=") + face_.joins_.keyOf(sub_);
+        request_ =
+            face_.boxes_.send(at_, "GET", path + sub, fields, again_, face_.terms_.segmentWithin, *this);
+    }
+
+    void head(const http::ResponseHead& head) override {
+        status_ = head.status;
+        const Load load = boxes::loadOf(head.fields);
+        toHead_ = face_.net_.now() - sentAt_;
+        if (status_ == wanted_ && !playlist_ && exchange_) {
+            Viewer* viewer = face_.byToken(token_);
+            if (!viewer || !head.length) {
+                status_ = 502;
+            } else {
+                length_ = *head.length;
+                http::Fields fields =
+                    face_.cmsdFields(*viewer, head.fields.joined("CMSD-Static").value_or(""),
+                                     head.fields.joined("CMSD-Dynamic").value_or(""),
+                                     what_ == What::Segment ? "av" : "i", toHead_);
+                const std::string* type = head.fields.find("Content-Type");
+                fields.add("Content-Type", type ? *type : "video/mp4");
+                fields.add("Cache-Control", "no-store");
+                begun_ = true;
+                if (what_ == What::Segment)
+                    face_.core_.delivery().began(face_.net_.now(), core::FetchId{key_}, sub_, at_, playTime_,
+                                                 length_);
+                exchange_->begin(200, fields, length_);
+            }
+        }
+        face_.core_.figures(sub_, at_, load.linkUse, load.uplinkUse);
+    }
+
+    void piece(std::string_view bytes) override {
+        if (playlist_) {
+            if (body_.size() <= 1'000'000) body_ += bytes;
+            return;
+        }
+        if (!begun_ || !exchange_) return;
+        if (got_ + bytes.size() > length_) bytes = bytes.substr(0, length_ - got_);
+        got_ += bytes.size();
+        face_.core_.delivery().got(core::FetchId{key_}, bytes.size());
+        exchange_->send(bytes);
+        if (exchange_ && exchange_->unsent() > face_.terms_.relayBytes && !held_) {
+            held_ = true;
+            request_->pause();
+            face_.core_.delivery().heldBack(face_.net_.now(), core::FetchId{key_});
+        }
+    }
+
+    void whole() override {
+        if (playlist_) {
+            playlist_ = false;
+            if (status_ == 410) return lost(boxes::WireEnd::BrokenAnswer);
+            if (status_ != 200) return end(502, "the box has no playlist");
+            auto read = hls::readMedia(body_);
+            std::string().swap(body_);
+            if (!read.got) return end(502, "the box's playlist is broken: " + read.why);
+            Cached cached{std::move(*read.got), {}, path_, ++face_.cacheUse_};
+            for (const hls::Segment& s : cached.list.segments) cached.durations.push_back(s.duration);
+            face_.cache_[{title_, rung_}] = std::move(cached);
+            if (face_.cache_.size() > face_.terms_.cachedPlaylists) {
+                auto oldest = face_.cache_.begin();
+                for (auto it = face_.cache_.begin(); it != face_.cache_.end(); ++it)
+                    if (it->second.usedAt < oldest->second.usedAt) oldest = it;
+                face_.cache_.erase(oldest);
+            }
+            finished_ = std::move(request_);
+            return start();
+        }
+        if (status_ == 410) return lost(boxes::WireEnd::BrokenAnswer);
+        if (!begun_) return end(502, "the box answered " + std::to_string(status_));
+        if (got_ < length_) return cutShort();
+        const Micros now = face_.net_.now();
+        if (what_ == What::Segment) face_.core_.delivery().ended(now, core::FetchId{key_});
+        if (Viewer* viewer = face_.byToken(token_)) {
+            const Micros took = std::max<Micros>(1, now - sentAt_);
+            if (what_ == What::Segment) {
+                viewer->delivered = static_cast<Micros>(got_) * 8'000 / took;
+                ++viewer->segments;
+                ++face_.relayedSegments_;
+            }
+            viewer->bytes += got_;
+        }
+        face_.relayedBytes_ += got_;
+        if (http::Exchange* exchange = std::exchange(exchange_, nullptr)) {
+            exchange->heldBy(nullptr);
+            exchange->finish();
+        }
+        over();
+    }
+
+    void failed(boxes::WireEnd how) override {
+        // A kept connection that the box had just closed: what is fetched may be fetched again, on a fresh
+        // one.
+        if (how == boxes::WireEnd::BrokenOutKept && !again_ && !begun_ && exchange_) {
+            again_ = true;
+            finished_ = std::move(request_);
+            return start();
+        }
+        if (how == boxes::WireEnd::NoRoomToSend || how == boxes::WireEnd::NoDescriptor)
+            return end(503, "too much is being fetched from the box");
+        lost(how);
+    }
+
+    // The viewer's side.
+    void drained() override {
+        if (!held_ || !request_) return;
+        held_ = false;
+        face_.core_.delivery().goesOn(face_.net_.now(), core::FetchId{key_});
+        request_->resume();
+    }
+    void gone() override {
+        exchange_ = nullptr;
+        if (Viewer* viewer = face_.byToken(token_)) viewer->silence->after(face_.terms_.closedAfter);
+        over();
+    }
+
+    void lost(boxes::WireEnd how) {
+        const SubId sub = sub_;
+        HttpFace& face = face_;
+        end(how == boxes::WireEnd::TimedOutOut ? 504 : 502, boxes::meaningOf(how).name);
+        face.core_.lost(sub,
+                        how == boxes::WireEnd::BrokenAnswer ? JoinEnd::Reset : boxes::meaningOf(how).end);
+    }
+    void cutShort() {
+        if (http::Exchange* exchange = std::exchange(exchange_, nullptr)) {
+            exchange->heldBy(nullptr);
+            exchange->abort();
+        }
+        over();
+    }
+    void end(int status, std::string_view why) {
+        if (begun_) return cutShort();
+        if (http::Exchange* exchange = std::exchange(exchange_, nullptr)) {
+            exchange->heldBy(nullptr);
+            face_.refuse(*exchange, status, why, status == 503 ? face_.terms_.retryWhenFull : 0);
+        }
+        over();
+    }
+    void over() {
+        const auto it = face_.relays_.find(key_);
+        if (it == face_.relays_.end()) return;
+        face_.bury(std::move(it->second));
+        face_.relays_.erase(it);
+    }
+
+    HttpFace& face_;
+    std::uint64_t key_;
+    std::string token_;
+    SubId sub_;
+    SfuId at_;
+    std::string title_;
+    What what_;
+    std::uint64_t no_;
+    int rung_;
+    http::Exchange* exchange_;
+    std::unique_ptr<boxes::Request> request_, finished_;
+    std::string path_, body_;
+    std::optional<hls::Range> range_;
+    bool playlist_ = false, begun_ = false, held_ = false, again_ = false;
+    int status_ = 0, wanted_ = 200;
+    std::uint64_t length_ = 0, got_ = 0;
+    Micros playTime_ = 0, sentAt_ = 0, toHead_ = 0;
+};
+
+HttpFace::HttpFace(net::Net& net, const net::Endpoint& at, const http::WireLimits& limits,
+                   const HttpTerms& terms, const hints::HintLimits& hintLimits, std::string name,
+                   const settings::Talks& talks, const settings::RoomTypes& rooms, const Ladder& ladder,
+                   admission::Gate& gate, core::Core& core, boxes::Boxes& boxes, boxes::Joins& joins,
+                   record::Log& log)
+    : net_(net),
+      terms_(terms),
+      hintLimits_(hintLimits),
+      name_(std::move(name)),
+      talks_(talks),
+      rooms_(rooms),
+      ladder_(ladder),
+      gate_(gate),
+      core_(core),
+      boxes_(boxes),
+      joins_(joins),
+      log_(log),
+      bury_(net, [this] {
+          dead_.clear();
+          deadViewers_.clear();
+      }) {
+    server_ = std::make_unique<http::Server>(net, at, limits, *this);
+}
+
+HttpFace::~HttpFace() {
+    relays_.clear();
+    dead_.clear();
+    viewers_.clear();
+    deadViewers_.clear();
+}
+
+HttpFace::Viewer* HttpFace::byToken(const std::string& token) {
+    const auto it = viewers_.find(token);
+    return it == viewers_.end() ? nullptr : it->second.get();
+}
+HttpFace::Viewer* HttpFace::bySub(SubId id) {
+    const auto it = subs_.find(id);
+    return it == subs_.end() ? nullptr : it->second;
+}
+const record::TraceContext* HttpFace::traceOf(SubId id) const {
+    const auto it = subs_.find(id);
+    return it == subs_.end() ? nullptr : &it->second->trace;
+}
+void HttpFace::bury(std::unique_ptr<Relay> relay) {
+    dead_.push_back(std::move(relay));
+    bury_.after(0);
+}
+
+// ================= requests =================
+
+bool HttpFace::admits(const net::Endpoint& peer) {
+    if (gate_.connect(gate_.networkOf(peer.ip))) return true;
+    ++turnedAway_;
+    return false;
+}
+void HttpFace::closed(const net::Endpoint& peer) {
+    gate_.disconnect(gate_.networkOf(peer.ip));
+}
+void HttpFace::malformed(const net::Endpoint& peer, int status, const std::string& why) {
+    ++badRequests_;
+    log_.line(record::Level::Warning, net_.now(), net_.wallNow(), "bad-request",
+              {{"peer", net::text(peer)}, {"status", status}, {"why", why}});
+}
+
+void HttpFace::refuse(http::Exchange& exchange, int status, std::string_view why, Micros comeBack) {
+    http::Fields fields;
+    if (comeBack > 0) fields.add("Retry-After", wholeSecondsUp(comeBack));
+    fields.add("Content-Type", "text/plain; charset=utf-8");
+    fields.add("Cache-Control", "no-store");
+    if (const auto* dynamic = exchange.head().fields.find("traceparent");
+        dynamic && record::parseTraceParent(*dynamic))
+        fields.add("traceparent", *dynamic);
+    exchange.respond(status, fields, std::string(why) + "\n");
+}
+
+void HttpFace::asked(http::Exchange& exchange) {
+    const http::RequestHead& head = exchange.head();
+    const std::string path = head.path();
+    if (head.method == "POST" && path == "/cmcd") return takeJson(exchange);
+    if (head.method != "GET" && head.method != "HEAD") {
+        http::Fields fields;
+        fields.add("Allow", "GET, HEAD");
+        return exchange.respond(405, fields, "");
+    }
+    constexpr std::string_view kTalk = "/talk/", kMain = "/main.m3u8", kSub = "/s/";
+    if (path.compare(0, kTalk.size(), kTalk) == 0 && path.size() > kTalk.size() + kMain.size() &&
+        path.compare(path.size() - kMain.size(), kMain.size(), kMain) == 0)
+        return askTalk(exchange, path.substr(kTalk.size(), path.size() - kTalk.size() - kMain.size()));
+    if (path.compare(0, kSub.size(), kSub) == 0) {
+        const auto slash = path.find('/', kSub.size());
+        Viewer* viewer =
+            slash == std::string::npos ? nullptr : byToken(path.substr(kSub.size(), slash - kSub.size()));
+        if (!viewer || !viewer->playing)
+            return refuse(exchange, 410, "the subscription is over: ask for the talk again");
+        heardFrom(*viewer, hintsOf(head));
+        const std::string file = path.substr(slash + 1);
+        if (file == "media.m3u8") return askMedia(exchange, *viewer);
+        return askSegment(exchange, *viewer, file);
+    }
+    if (path == "/status") {
+        http::Fields fields;
+        fields.add("Content-Type", "application/json");
+        return exchange.respond(200, fields, statusText());
+    }
+    refuse(exchange, 404, "nothing lies here");
+}
+
+hints::Cmcd HttpFace::hintsOf(const http::RequestHead& head) {
+    hints::CmcdReader reader(hintLimits_);
+    for (std::size_t i = 0; i < hints::kCmcdHeaders.size(); ++i)
+        if (const auto value = head.fields.joined(hints::kCmcdHeaders[i])) reader.header(i, *value);
+    if (const auto value = http::queryValue(head.query(), "CMCD")) reader.query(*value);
+    const hints::Cmcd out = reader.done();
+    for (std::size_t i = 0; i < hints::kDroppedKinds; ++i) hintsDropped_[i] += reader.dropped()[i];
+    return out;
+}
+
+void HttpFace::takeJson(http::Exchange& exchange) {
+    hints::CmcdReader reader(hintLimits_);
+    reader.json(exchange.body());
+    const hints::Cmcd got = reader.done();
+    for (std::size_t i = 0; i < hints::kDroppedKinds; ++i) hintsDropped_[i] += reader.dropped()[i];
+    if (got.sid)
+        for (auto& [token, viewer] : viewers_)
+            if (viewer->hints.sid == got.sid) heardFrom(*viewer, got);
+    exchange.respond(204, {}, "");
+}
+
+void HttpFace::heardFrom(Viewer& viewer, const hints::Cmcd& got) {
+    if (got.starved.value_or(false)) ++starved_;
+    if (got.pr) viewer.paused = got.pr->thousandths == 0;
+    // What identifies it stays; what tells of now is replaced.
+    hints::Cmcd now = got;
+    if (!now.sid) now.sid = viewer.hints.sid;
+    if (!now.cid) now.cid = viewer.hints.cid;
+    if (!now.tb) now.tb = viewer.hints.tb;
+    if (!now.sf) now.sf = viewer.hints.sf;
+    if (!now.st) now.st = viewer.hints.st;
+    viewer.hints = std::move(now);
+    viewer.silence->after(viewer.paused ? terms_.pausedAfter : terms_.silentAfter);
+}
+
+void HttpFace::askTalk(http::Exchange& exchange, const std::string& title) {
+    const http::RequestHead& head = exchange.head();
+    const auto talk = talks_.find(title);
+    if (talk == talks_.end()) return refuse(exchange, 404, "no such talk");
+    const std::string roomName = http::queryValue(head.query(), "room").value_or(rooms_.types.front().name);
+    const auto room = rooms_.find(roomName);
+    if (!room) return refuse(exchange, 404, "no such room type");
+    const hints::Cmcd hint = hintsOf(head);
+
+    const std::string sidKey = hint.sid ? *hint.sid + "\n" + title + "\n" + roomName : "";
+    if (!sidKey.empty()) {
+        if (const auto known = sids_.find(sidKey); known != sids_.end()) {
+            Viewer& viewer = *known->second;
+            heardFrom(viewer, hint);
+            if (viewer.playing) return answerPlaying(viewer, exchange);
+            if (viewer.waiters.size() < terms_.fetchesEach) {  // on another connection, and still waiting
+                viewer.waiters.push_back(std::make_unique<Waiter>(*this, viewer.token, exchange));
+                return;
+            }
+            return refuse(exchange, 503, "this session is asked for already", terms_.retryWhenFull);
+        }
+    }
+    if (stopping_) return refuse(exchange, 503, "this front is stopping", terms_.retryWhenFull);
+    const std::uint32_t network = gate_.networkOf(exchange.peer().ip);
+    if (gate_.ask(network) != admission::Gate::Let::In) {
+        ++turnedAway_;
+        return refuse(exchange, 503, "too many ask at once", terms_.retryWhenFull);
+    }
+
+    Wish wish;
+    wish.room = *room;
+    wish.title = TitleId{title};
+    wish.firstCell = talk->second.firstCell;
+    wish.holders = talk->second.holders;
+    const RoomType& type = rooms_.types[room->v];
+    const int top = static_cast<int>(ladder_.kb.size()) - 1;
+    wish.maxRung = top;
+    // The best rung of the device (tb), what the player thinks enough (rtp), and what its own link was seen
+    // to carry (mtp, which is noisy: half as much again is allowed). All in kbit/s.
+    double kbits = 1e18;
+    if (hint.tb && *hint.tb > 0) kbits = std::min(kbits, static_cast<double>(*hint.tb));
+    if (hint.rtp && *hint.rtp > 0) kbits = std::min(kbits, static_cast<double>(*hint.rtp));
+    if (hint.mtp && *hint.mtp > 0) kbits = std::min(kbits, 1.5 * static_cast<double>(*hint.mtp));
+    while (wish.maxRung > type.floor &&
+           ladder_.kb[static_cast<std::size_t>(wish.maxRung)] * type.rateFactor * 8 > kbits * 1.001)
+        --wish.maxRung;
+    for (const auto& [key, value] : hint.custom) {
+        if (key != "org.valekeel-watch") continue;
+        if (const auto* whole = std::get_if<std::int64_t>(&value); whole && *whole > 0 && *whole < 100'000)
+            wish.watchSeconds = static_cast<double>(*whole);
+    }
+
+    const auto id = core_.ask(*this, wish, rooms_.clientTimeouts[room->v]);
+    if (!id) {
+        gate_.answered(network);
+        ++turnedAway_;
+        return refuse(exchange, 503, "this front holds all that it can", terms_.retryWhenFull);
+    }
+    auto made = std::make_unique<Viewer>(terms_.window);
+    Viewer& viewer = *made;
+    viewer.token = record::hex64(net_.draw()) + record::hex64(net_.draw());
+    viewer.sidKey = sidKey;
+    viewer.title = title;
+    viewer.sub = *id;
+    viewer.room = *room;
+    viewer.network = network;
+    viewer.inGate = true;
+    viewer.hints = hint;
+    const std::string* parent = head.fields.find("traceparent");
+    auto trace = parent ? record::parseTraceParent(*parent) : std::nullopt;
+    viewer.trace = trace ? *trace : record::newTrace(net_.draw(), net_.draw(), net_.draw());
+    viewer.silence = std::make_unique<net::Timer>(net_, [this, token = viewer.token] {
+        if (Viewer* silent = byToken(token)) endViewer(*silent, true);
+    });
+    viewer.silence->after(std::max(terms_.silentAfter, rooms_.clientTimeouts[room->v]));
+    viewer.waiters.push_back(std::make_unique<Waiter>(*this, viewer.token, exchange));
+    subs_[*id] = &viewer;
+    if (!sidKey.empty()) sids_[sidKey] = &viewer;
+    joins_.scribe(*id, *this);
+    nlohmann::ordered_json fields{{"trace", viewer.trace.trace},
+                                  {"sub", id->v},
+                                  {"title", title},
+                                  {"room", roomName},
+                                  {"max_rung", wish.maxRung},
+                                  {"network", gate_.nameOf(network)}};
+    if (hint.sid) fields["sid"] = *hint.sid;
+    log_.line(record::Level::Info, net_.now(), net_.wallNow(), "asked", std::move(fields));
+    viewers_.emplace(viewer.token, std::move(made));
+}
+
+void HttpFace::askMedia(http::Exchange& exchange, Viewer& viewer) {
+    if (cache_.count({viewer.title, viewer.rung})) return sendWindow(exchange, viewer);
+    if (viewer.fetches >= terms_.fetchesEach) return refuse(exchange, 429, "too many fetches at once");
+    const std::uint64_t key = nextFetch_++;
+    auto& relay = relays_[key] =
+        std::make_unique<Relay>(*this, key, viewer, exchange, Relay::What::Window, 0, viewer.rung);
+    relay->start();
+}
+
+void HttpFace::sendWindow(http::Exchange& exchange, Viewer& viewer) {
+    const auto known = cache_.find({viewer.title, viewer.rung});
+    if (known == cache_.end()) return refuse(exchange, 502, "no playlist");
+    known->second.usedAt = ++cacheUse_;
+    const std::vector<Micros>& durations = known->second.durations;
+    viewer.window.extend(net_.now() - viewer.startedAt, viewer.rung, durations);
+    http::Fields fields = cmsdFields(viewer, "", "", "m", std::nullopt);
+    fields.add("Content-Type", kPlaylistType);
+    fields.add("Cache-Control", "no-store");
+    exchange.respond(200, fields, hls::write(viewer.window.playlist(durations)));
+}
+
+void HttpFace::askSegment(http::Exchange& exchange, Viewer& viewer, std::string_view file) {
+    auto what = Relay::What::Segment;
+    constexpr std::string_view kInit = "init-";
+    std::string_view number = file;
+    const auto point = file.rfind('.');
+    if (point != std::string_view::npos) number = file.substr(0, point);
+    const std::string_view ending = point == std::string_view::npos ? "" : file.substr(point);
+    if (number.substr(0, kInit.size()) == kInit && ending == ".mp4") {
+        what = Relay::What::Init;
+        number.remove_prefix(kInit.size());
+    } else if (ending != ".m4s") {
+        return refuse(exchange, 404, "nothing lies here");
+    }
+    std::uint64_t value = 0;
+    const auto [end, bad] = std::from_chars(number.data(), number.data() + number.size(), value);
+    if (bad != std::errc{} || end != number.data() + number.size())
+        return refuse(exchange, 404, "nothing lies here");
+    int rung = 0;
+    if (what == Relay::What::Init) {
+        if (value >= ladder_.kb.size()) return refuse(exchange, 404, "nothing lies here");
+        rung = static_cast<int>(value);
+    } else {
+        const Window::Listed* listed = viewer.window.find(value);
+        if (!listed) return refuse(exchange, 404, "this segment is not listed");
+        rung = listed->rung;
+    }
+    if (viewer.fetches >= terms_.fetchesEach) return refuse(exchange, 429, "too many fetches at once");
+    const std::uint64_t key = nextFetch_++;
+    auto& relay = relays_[key] = std::make_unique<Relay>(*this, key, viewer, exchange, what, value, rung);
+    if (what == Relay::What::Segment && rung != viewer.rungSeen) {
+        viewer.rungSeen = rung;
+        core_.rungFetched(viewer.sub, rung);
+    }
+    relay->start();
+}
+
+http::Fields HttpFace::cmsdFields(const Viewer& viewer, std::string_view standingStatic,
+                                  std::string_view standingDynamic, std::string_view objectType,
+                                  std::optional<Micros> toHead) const {
+    http::Fields fields;
+    if (!standingStatic.empty() && hints::parseCmsdStatic(standingStatic)) {
+        fields.add("CMSD-Static", standingStatic);
+    } else {
+        hints::CmsdStatic own;
+        own.n = name_;
+        own.ot = std::string(objectType);
+        own.sf = "h";
+        own.st = "v";
+        fields.add("CMSD-Static", hints::write(own));
+    }
+    hints::CmsdEntry entry;
+    entry.by = name_;
+    const RoomType& type = rooms_.types[viewer.room.v];
+    entry.mb = static_cast<std::int64_t>(
+        std::llround(ladder_.kb[static_cast<std::size_t>(viewer.rung)] * type.rateFactor * 8));
+    if (viewer.delivered) entry.etp = *viewer.delivered;
+    if (toHead) entry.rd = *toHead / 1000;
+    entry.du = gate_.held() * 2 > gate_.bound();
+    fields.add("CMSD-Dynamic", hints::appended(standingDynamic, entry));
+    fields.add("traceparent", record::write(viewer.trace));
+    return fields;
+}
+
+// ================= answers =================
+
+void HttpFace::answerWaiters(Viewer& viewer, const std::function<void(http::Exchange&)>& how) {
+    if (std::exchange(viewer.inGate, false)) gate_.answered(viewer.network);
+    std::vector<std::unique_ptr<Waiter>> waiters;
+    waiters.swap(viewer.waiters);
+    for (auto& waiter : waiters) {
+        http::Exchange* exchange = waiter->release();
+        if (!exchange) continue;
+        exchange->heldBy(nullptr);
+        how(*exchange);
+    }
+}
+
+void HttpFace::plays(SubId id, SfuId at, int rung) {
+    Viewer* viewer = bySub(id);
+    if (!viewer) return;
+    viewer->playing = true;
+    viewer->at = at;
+    viewer->rung = viewer->rungSeen = rung;
+    viewer->startedAt = net_.now();
+    viewer->silence->after(terms_.silentAfter);
+    const std::string token = viewer->token;
+    answerWaiters(*viewer, [&](http::Exchange& exchange) {
+        if (Viewer* still = byToken(token)) answerPlaying(*still, exchange);
+    });
+}
+
+void HttpFace::answerPlaying(Viewer& viewer, http::Exchange& exchange) {
+    const boxes::JoinAnswer* answer = joins_.answerOf(viewer.sub);
+    if (!answer) return refuse(exchange, 410, "the subscription is over");
+    // One variant: which rung plays is the front's to say, and the window's maps carry each change.
+    hls::Variant best;
+    for (const hls::Variant& v : answer->variants.variants) {
+        if (v.bandwidth <= best.bandwidth) continue;
+        best = v;
+    }
+    best.uri = "/s/" + viewer.token + "/media.m3u8";
+    http::Fields fields = cmsdFields(viewer, answer->cmsdStatic, answer->cmsdDynamic, "m", answer->toHead);
+    fields.add("Content-Type", kPlaylistType);
+    fields.add("Cache-Control", "no-store");
+    exchange.respond(200, fields, hls::write(hls::Multivariant{{best}}));
+}
+
+void HttpFace::throttled(SubId id, Micros comeBack) {
+    Viewer* viewer = bySub(id);
+    if (!viewer) return;
+    answerWaiters(*viewer, [&](http::Exchange& e) { refuse(e, 503, "no room for it now", comeBack); });
+    endViewer(*viewer, false);
+}
+
+void HttpFace::terminated(SubId id, core::Ended how) {
+    Viewer* viewer = bySub(id);
+    if (!viewer) return;
+    answerWaiters(*viewer, [&](http::Exchange& e) {
+        refuse(e, how == core::Ended::TimedOut ? 504 : 502, "its set-up failed");
+    });
+    endViewer(*viewer, false);
+}
+
+void HttpFace::rungSet(SubId id, int rung) {
+    if (Viewer* viewer = bySub(id)) viewer->rung = rung;
+}
+
+void HttpFace::broke(SubId id) {
+    if (Viewer* viewer = bySub(id)) endViewer(*viewer, false);
+}
+
+void HttpFace::endViewer(Viewer& viewer, bool tellCore) {
+    const SubId id = viewer.sub;
+    log_.line(record::Level::Info, net_.now(), net_.wallNow(), "viewer-over",
+              {{"trace", viewer.trace.trace},
+               {"sub", id.v},
+               {"segments", viewer.segments},
+               {"bytes", viewer.bytes}});
+    if (std::exchange(viewer.inGate, false)) gate_.answered(viewer.network);
+    viewer.silence->cancel();
+    subs_.erase(id);
+    if (!viewer.sidKey.empty()) {
+        const auto it = sids_.find(viewer.sidKey);
+        if (it != sids_.end() && it->second == &viewer) sids_.erase(it);
+    }
+    const auto it = viewers_.find(viewer.token);
+    deadViewers_.push_back(std::move(it->second));
+    viewers_.erase(it);
+    bury_.after(0);
+    if (tellCore) core_.left(id);
+    joins_.forget(id);
+}
+
+boxes::JoinWords HttpFace::wordsFor(SubId id, int) {
+    boxes::JoinWords words;
+    const Viewer* viewer = bySub(id);
+    if (!viewer) return words;
+    words.title = viewer->title;
+    words.room = rooms_.types[viewer->room.v].name;
+    hints::Cmcd on = viewer->hints;
+    on.ot = "m";
+    on.su = true;
+    for (std::size_t i = 0; i < hints::kCmcdHeaders.size(); ++i) {
+        const std::string value = hints::writeCmcdHeader(on, i);
+        if (!value.empty()) words.fields.add(hints::kCmcdHeaders[i], value);
+    }
+    record::TraceContext trace = viewer->trace;
+    trace.parent = record::hex64(net_.draw() | 1);
+    words.fields.add("traceparent", record::write(trace));
+    return words;
+}
+
+void HttpFace::finishUp(std::function<void()> done) {
+    stopping_ = true;
+    std::vector<Viewer*> all;
+    for (auto& [token, viewer] : viewers_) all.push_back(viewer.get());
+    for (Viewer* viewer : all) endViewer(*viewer, true);
+    server_->finishUp(std::move(done));
+}
+
+std::string HttpFace::statusText() const {
+    const core::Counts& c = core_.counts();
+    nlohmann::ordered_json out{{"front", name_},
+                               {"asked", c.asked},
+                               {"played", c.played},
+                               {"throttled", c.throttled},
+                               {"terminated", c.terminated},
+                               {"left", c.left},
+                               {"broke", c.broke},
+                               {"joins", c.joins},
+                               {"guarded", c.guarded},
+                               {"turned_away", turnedAway_},
+                               {"playing", viewers_.size()},
+                               {"unanswered", core_.unanswered()},
+                               {"connections", server_->connections()},
+                               {"box_connections", boxes_.connections()},
+                               {"segments", relayedSegments_},
+                               {"bytes", relayedBytes_},
+                               {"starved", starved_},
+                               {"bad_requests", badRequests_}};
+    nlohmann::ordered_json hints;
+    for (std::size_t i = 0; i < hints::kDroppedKinds; ++i)
+        hints[std::string(hints::nameOf(static_cast<hints::Dropped>(i)))] = hintsDropped_[i];
+    out["hints_dropped"] = std::move(hints);
+    return out.dump() + "\n";
+}
+
+}  // namespace valekeel::faces
--- /dev/null
+++ b/src/faces/http/face.hpp
@@ -0,0 +1,134 @@
+// The HTTP face: HLS with CMCD and CMSD in, the core's calls out, and back. It places nothing, retries
+// nothing and counts no seats.
+//
+//   GET /talk/TITLE/main.m3u8?room=ROOM   asks for a subscription; answered when it plays, is throttled (503
+//                                         with Retry-After) or terminated (502, 504)
+//   GET /s/TOKEN/media.m3u8               the window of the talk that this viewer has now
+//   GET /s/TOKEN/init-RUNG.mp4, NO.m4s    relayed from the box that plays it
+//   POST /cmcd                            hints as JSON, for the subscription of their sid
+//   GET /status                           counts, as JSON
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "admission/gate.hpp"
+#include "boxes/joins.hpp"
+#include "core/core.hpp"
+#include "faces/http/viewer.hpp"
+#include "hints/cmcd.hpp"
+#include "http/server.hpp"
+#include "record/log.hpp"
+#include "record/trace.hpp"
+#include "settings/site.hpp"
+
+namespace valekeel::faces {
+
+struct HttpTerms {
+    WindowTerms window;
+    Micros silentAfter = 20'000'000;  // without a fetch, a viewer is taken to have left
+    Micros closedAfter = 3'000'000;   // the same, once its last connection is closed
+    Micros pausedAfter = 60'000'000;  // the same, while its hints say that it is paused (pr=0)
+    Micros segmentWithin = 12'000'000;
+    std::size_t fetchesEach = 4;        // of one viewer at once
+    std::size_t relayBytes = 131'072;   // unsent to a viewer before the box is made to wait
+    std::size_t cachedPlaylists = 512;  // media playlists of boxes
+    Micros retryWhenFull = 1'000'000;   // named to those that admission turns away
+};
+
+class HttpFace final : public core::Face, public http::Handler, public boxes::JoinScribe {
+  public:
+    HttpFace(net::Net&, const net::Endpoint&, const http::WireLimits&, const HttpTerms&,
+             const hints::HintLimits&, std::string name, const settings::Talks&, const settings::RoomTypes&,
+             const Ladder&, admission::Gate&, core::Core&, boxes::Boxes&, boxes::Joins&, record::Log&);
+    ~HttpFace() override;
+
+    net::Endpoint at() const { return server_->at(); }
+    // Nothing new is taken from now on; what plays goes on.
+    void stopTaking() { stopping_ = true; }
+    // Ends what plays, and calls back when all is said.
+    void finishUp(std::function<void()> done);
+    std::size_t viewers() const { return viewers_.size(); }
+    const hints::DropCounts& hintsDropped() const { return hintsDropped_; }
+    const record::TraceContext* traceOf(SubId) const;
+    std::string statusText() const;
+
+  private:
+    struct Viewer;
+    class Waiter;
+    class Relay;
+    struct PlaylistKey {
+        std::string title;
+        int rung;
+        auto operator<=>(const PlaylistKey&) const = default;
+    };
+
+    // ---- http::Handler ----
+    void asked(http::Exchange&) override;
+    bool admits(const net::Endpoint&) override;
+    void closed(const net::Endpoint&) override;
+    void malformed(const net::Endpoint&, int, const std::string&) override;
+
+    // ---- core::Face ----
+    void plays(SubId, SfuId, int rung) override;
+    void throttled(SubId, Micros comeBack) override;
+    void terminated(SubId, core::Ended) override;
+    void rungSet(SubId, int rung) override;
+    void broke(SubId) override;
+
+    boxes::JoinWords wordsFor(SubId, int joinNo) override;
+
+    hints::Cmcd hintsOf(const http::RequestHead&);
+    void askTalk(http::Exchange&, const std::string& title);
+    void askMedia(http::Exchange&, Viewer&);
+    void askSegment(http::Exchange&, Viewer&, std::string_view file);
+    void takeJson(http::Exchange&);
+    void answerPlaying(Viewer&, http::Exchange&);
+    void refuse(http::Exchange&, int status, std::string_view why, Micros comeBack = 0);
+    void sendWindow(http::Exchange&, Viewer&);
+    http::Fields cmsdFields(const Viewer&, std::string_view standingStatic, std::string_view standingDynamic,
+                            std::string_view objectType, std::optional<Micros> toHead) const;
+    void heardFrom(Viewer&, const hints::Cmcd&);
+    void endViewer(Viewer&, bool tellCore);
+    Viewer* byToken(const std::string&);
+    Viewer* bySub(SubId);
+    void answerWaiters(Viewer&, const std::function<void(http::Exchange&)>&);
+    void bury(std::unique_ptr<Relay>);
+
+    net::Net& net_;
+    HttpTerms terms_;
+    hints::HintLimits hintLimits_;
+    std::string name_;
+    const settings::Talks& talks_;
+    const settings::RoomTypes& rooms_;
+    const Ladder& ladder_;
+    admission::Gate& gate_;
+    core::Core& core_;
+    boxes::Boxes& boxes_;
+    boxes::Joins& joins_;
+    record::Log& log_;
+    std::unique_ptr<http::Server> server_;
+    std::map<std::string, std::unique_ptr<Viewer>> viewers_;  // by token
+    std::map<SubId, Viewer*> subs_;
+    std::map<std::string, Viewer*> sids_;
+    struct Cached {
+        hls::MediaPlaylist list;
+        std::vector<Micros> durations;
+        std::string path;
+        std::uint64_t usedAt = 0;
+    };
+    std::map<PlaylistKey, Cached> cache_;
+    std::uint64_t cacheUse_ = 0;
+    std::uint64_t nextFetch_ = 1;
+    std::map<std::uint64_t, std::unique_ptr<Relay>> relays_;
+    std::vector<std::unique_ptr<Relay>> dead_;
+    std::vector<std::unique_ptr<Viewer>> deadViewers_;
+    net::Timer bury_;
+    hints::DropCounts hintsDropped_{};
+    std::uint64_t badRequests_ = 0, relayedBytes_ = 0, relayedSegments_ = 0, turnedAway_ = 0, starved_ = 0;
+    bool stopping_ = false;
+};
+
+}  // namespace valekeel::faces
--- /dev/null
+++ b/src/faces/http/viewer.cpp
@@ -0,0 +1,48 @@
+#include "faces/http/viewer.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace valekeel::faces {
+
+void Window::extend(Micros played, int rung, const std::vector<Micros>& durations) {
+    while (next_ < durations.size() && nextAt_ <= played + terms_.ahead) {
+        listed_.push_back({next_, rung});
+        nextAt_ += durations[next_];
+        ++next_;
+    }
+    while (listed_.size() > 1) {
+        const Micros end = firstAt_ + durations[listed_.front().no];
+        if (end >= played - terms_.behind) break;
+        firstAt_ = end;
+        listed_.pop_front();
+    }
+}
+
+const Window::Listed* Window::find(std::uint64_t no) const {
+    if (listed_.empty() || no < listed_.front().no || no > listed_.back().no) return nullptr;
+    return &listed_[no - listed_.front().no];
+}
+
+hls::MediaPlaylist Window::playlist(const std::vector<Micros>& durations) const {
+    hls::MediaPlaylist out;
+    std::map<int, int> maps;
+    for (const Micros d : durations) out.target = std::max(out.target, d);
+    if (!listed_.empty()) out.firstNo = listed_.front().no;
+    int last = -1;
+    for (const Listed& one : listed_) {
+        hls::Segment s;
+        s.uri = std::to_string(one.no) + ".m4s";
+        s.duration = durations[one.no];
+        const auto [it, fresh] = maps.try_emplace(one.rung, static_cast<int>(out.maps.size()));
+        if (fresh) out.maps.push_back({"init-" + std::to_string(one.rung) + ".mp4", {}});
+        s.map = it->second;
+        s.discontinuity = last >= 0 && last != one.rung;  // another encoding begins (section 4.3.2.3)
+        last = one.rung;
+        out.segments.push_back(std::move(s));
+    }
+    out.ended = next_ >= durations.size();
+    return out;
+}
+
+}  // namespace valekeel::faces
--- /dev/null
+++ b/src/front/front.cpp
@@ -0,0 +1,393 @@
+#include "front/front.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "admission/gate.hpp"
+#include "record/log.hpp"
+
+namespace valekeel::front {
+namespace {
+
+using settings::Cursor;
+
+constexpr Micros kHour = 3'600 * kSecond;
+
+struct Told {  // all that the settings say, checked whole before anything starts
+    std::string name;
+    int fronts = 1;
+    Ladder ladder;
+    settings::RoomTypes rooms;
+    settings::Machines machines;
+    ColdTerms cold;
+    std::optional<JoinBudget> budget;
+    Tidings tidings;
+    Allowed allowed;
+    settings::Talks talks;
+    net::Endpoint http;
+    http::WireLimits wire;
+    hints::HintLimits hints;
+    faces::HttpTerms terms;
+    boxes::BoxLimits boxes;
+    core::CoreLimits core;
+    Micros deliveryWindow = kSecond;
+    list::ListLimits listLimits;
+    list::FollowTimes listTimes;
+    std::string listFile, listPath, listKept;
+    std::optional<net::Endpoint> listAt;
+    std::size_t gateWaiting = 5'000, gateConnections = 2'000;
+    int prefix4 = 24, prefix6 = 56;
+    std::vector<std::pair<admission::Prefix, std::string>> networks;
+    std::string logFile = "-";
+    record::Level logLevel = record::Level::Info;
+    int logWarnings = 20;
+    Micros stopWithin = 10 * kSecond;
+};
+
+void readWire(Cursor& top, Told& t) {
+    if (auto node = top.one("http")) {
+        t.http = node->address("listen");
+        http::WireLimits& w = t.wire;
+        w.headBytes = static_cast<std::uint32_t>(node->whole("head-bytes", 1'024, 1'000'000, w.headBytes));
+        w.fields = static_cast<std::uint32_t>(node->whole("fields", 8, 10'000, w.fields));
+        w.targetBytes = static_cast<std::uint32_t>(node->whole("target-bytes", 128, 100'000, w.targetBytes));
+        w.bodyBytes = static_cast<std::uint64_t>(node->whole("body-bytes", 0, 100'000'000, 65'536));
+        w.outBytes = static_cast<std::uint32_t>(node->whole("out-bytes", 4'096, 100'000'000, w.outBytes));
+        w.headWithin = node->time("head-within", 10'000, kHour, w.headWithin);
+        w.idleFor = node->time("idle-for", 100'000, kHour, w.idleFor);
+        w.stalledFor = node->time("stalled-for", 100'000, kHour, w.stalledFor);
+        w.connections = static_cast<std::uint32_t>(node->whole("connections", 1, 10'000'000, w.connections));
+        node->finish();
+    } else {
+        top.wrong("a node 'http' is expected: http listen=\"127.0.0.1:8080\"");
+    }
+    if (auto node = top.one("hints")) {
+        t.hints.fieldBytes = static_cast<std::size_t>(node->whole("field-bytes", 64, 100'000, 4'096));
+        t.hints.keys = static_cast<std::size_t>(node->whole("keys", 1, 1'000, 64));
+        t.hints.customBytes = static_cast<std::size_t>(node->whole("custom-bytes", 1, 10'000, 128));
+        node->finish();
+    }
+    if (auto node = top.one("viewers")) {
+        faces::HttpTerms& v = t.terms;
+        v.window.ahead = node->time("ahead", 0, kHour, v.window.ahead);
+        v.window.behind = node->time("behind", 0, kHour, v.window.behind);
+        v.silentAfter = node->time("silent-after", 100'000, kHour, v.silentAfter);
+        v.closedAfter = node->time("closed-after", 0, kHour, v.closedAfter);
+        v.pausedAfter = node->time("paused-after", 100'000, kHour, v.pausedAfter);
+        v.segmentWithin = node->time("segment-within", 100'000, kHour, v.segmentWithin);
+        v.fetchesEach = static_cast<std::size_t>(node->whole("fetches-each", 1, 100, 4));
+        v.relayBytes = static_cast<std::size_t>(node->whole("relay-bytes", 4'096, 100'000'000, 131'072));
+        v.cachedPlaylists = static_cast<std::size_t>(node->whole("cached-playlists", 1, 1'000'000, 512));
+        v.retryWhenFull = node->time("retry-when-full", kSecond, kHour, v.retryWhenFull);
+        t.core.subs = static_cast<std::size_t>(node->whole("at-most", 1, 10'000'000, 100'000));
+        t.core.answerMargin = node->time("answer-margin", 1'000, kSecond, t.core.answerMargin);
+        t.deliveryWindow = node->time("delivery-window", 100'000, 60 * kSecond, t.deliveryWindow);
+        node->finish();
+    }
+    for (const Micros timeout : t.rooms.clientTimeouts)
+        if (timeout <= 2 * t.core.answerMargin)
+            top.wrong("a client timeout of a room type is expected to be over twice viewers answer-margin=");
+    if (auto node = top.one("boxes")) {
+        boxes::BoxLimits& b = t.boxes;
+        b.connections = static_cast<std::size_t>(node->whole("connections", 1, 100'000, 256));
+        b.waiting = static_cast<std::size_t>(node->whole("waiting", 0, 1'000'000, 1'024));
+        b.connectWithin = node->time("connect-within", 1'000, 60 * kSecond, b.connectWithin);
+        b.keepIdle = node->time("keep-idle", 0, kHour, b.keepIdle);
+        b.sureFor = node->time("sure-for", 0, kHour, b.sureFor);
+        node->finish();
+    }
+    t.core.reportEvery = t.tidings.every;
+}
+
+void readList(Cursor& top, Told& t) {
+    Cursor node = top.need("list");
+    t.listFile = node.text("file", "");
+    if (node.has("stream")) t.listAt = node.address("stream");
+    t.listPath = node.text("path", "/boxes");
+    if (t.listFile.empty() == !t.listAt)
+        node.wrong("'list' is expected to have either file=\"boxes.kdl\" or stream=\"127.0.0.1:9000\"");
+    t.listKept = node.text("keep", "");
+    t.listTimes.lookEvery = node.time("look-every", 1'000, kHour, t.listTimes.lookEvery);
+    t.listTimes.connectWithin = node.time("connect-within", 1'000, 60 * kSecond, t.listTimes.connectWithin);
+    t.listTimes.silentFor = node.time("silent-for", 100'000, kHour, t.listTimes.silentFor);
+    t.listLimits.boxes = static_cast<std::size_t>(node.whole("boxes", 1, 1'000'000, 4'096));
+    t.listLimits.bytes = static_cast<std::size_t>(node.whole("bytes", 1'024, 100'000'000, 1'000'000));
+    node.finish();
+}
+
+void readAdmission(Cursor& top, Told& t) {
+    auto node = top.one("admission");
+    if (!node) return;
+    t.gateWaiting = static_cast<std::size_t>(node->whole("waiting", 1, 1'000'000, 5'000));
+    t.gateConnections = static_cast<std::size_t>(node->whole("connections-each", 1, 1'000'000, 2'000));
+    t.prefix4 = static_cast<int>(node->whole("prefix4", 1, 32, 24));
+    t.prefix6 = static_cast<int>(node->whole("prefix6", 1, 128, 56));
+    for (Cursor& network : node->each("network")) {
+        const std::string text = network.argument("its prefix");
+        const auto prefix = admission::prefixOf(text);
+        if (!prefix)
+            network.wrong(
+                "a network is expected as \"10.1.0.0/16\" or \"2001:db8::/32\", with no bits behind its "
+                "length");
+        t.networks.emplace_back(*prefix, network.text("member"));
+        network.finish();
+    }
+    node->finish();
+}
+
+Told readAll(const settings::Document& document) {
+    Told t;
+    Cursor top(document);
+    Cursor front = top.need("front");
+    t.name = front.argument("its name");
+    if (t.name.empty() || t.name.size() > 64 ||
+        t.name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") !=
+            std::string::npos)
+        front.wrong("a front's name is of letters, digits, '-' and '_', 64 at most");
+    t.fronts = static_cast<int>(front.whole("fronts", 1, 100'000, 1));
+    t.stopWithin = front.time("stop-within", 0, kHour, t.stopWithin);
+    front.finish();
+    t.ladder = settings::readLadder(top);
+    t.rooms = settings::readRoomTypes(top, t.ladder);
+    t.machines = settings::readMachines(top);
+    t.cold = settings::readColdTerms(top);
+    t.budget = settings::readJoinBudget(top);
+    t.tidings = settings::readTidings(top);
+    t.allowed = settings::readAllowed(top);
+    t.talks = settings::readTalks(top, t.machines.fleet);
+    readWire(top, t);
+    readList(top, t);
+    readAdmission(top, t);
+    if (auto log = top.one("log")) {
+        t.logFile = log->text("file", "-");
+        t.logLevel = record::levelOf(log->choice("level", {"debug", "info", "warning", "error"}, "info"));
+        t.logWarnings = static_cast<int>(log->whole("warnings-a-second", 1, 100'000, 20));
+        log->finish();
+    }
+    top.finish();
+    return t;
+}
+
+}  // namespace
+
+struct Front::Parts final : core::Watcher, list::ListUser {
+    net::Net& net;
+    Told told;
+    record::Log log;
+    Micros wallOffset;  // of the wall clock over the front's own, as at the start
+    boxes::Boxes boxes;
+    boxes::Joins joins;
+    admission::Gate gate;
+    std::unique_ptr<core::Core> core;
+    std::unique_ptr<faces::HttpFace> face;
+    std::unique_ptr<list::Follower> follower;
+    list::BoxList held;
+    net::Timer stopping, flushing;
+    std::function<void()> stopped;
+    Micros stopBy = 0;
+
+    Parts(net::Net& net, Told given, std::uint64_t seed, std::uint64_t epoch, const OtherDecide& other)
+        : net(net),
+          told(std::move(given)),
+          log(told.logFile, told.logLevel, told.logWarnings),
+          wallOffset(net.wallNow() - net.now()),
+          boxes(net, told.wire, told.boxes),
+          joins(net, boxes, told.name + "." + std::to_string(epoch), told.ladder.kb.size(), {},
+                [this] {
+                    if (follower) follower->follow();
+                }),
+          gate(told.gateWaiting, told.gateConnections, told.prefix4, told.prefix6),
+          stopping(net, [this] { lookWhetherDone(); }),
+          flushing(net, [this] {
+              log.flush();
+              flushing.after(kSecond);
+          }) {
+        for (const auto& [prefix, member] : told.networks) gate.name(prefix, member);
+        follower = told.listAt ? list::followStream(net, *told.listAt, told.listPath, told.machines.kinds,
+                                                    told.listLimits, told.listTimes, *this)
+                               : list::followFile(net, told.listFile, told.machines.kinds, told.listLimits,
+                                                  told.listTimes, *this);
+        core = std::make_unique<core::Core>(
+            net, told.rooms.types, told.core, told.deliveryWindow, joins, *this,
+            [&](Host& host, Micros now) -> std::unique_ptr<core::Decides> {
+                if (other)
+                    return other(host, now, seed, told.rooms.types, told.machines.fleet, told.ladder,
+                                 told.allowed);
+                return std::make_unique<core::ModuleDecides>(
+                    host, now, seed, told.fronts, told.ladder, told.rooms.types, told.machines.fleet,
+                    told.cold, told.budget ? &*told.budget : nullptr, told.tidings, told.allowed);
+            });
+        joins.connect(*core);
+        readKept();
+        face = std::make_unique<faces::HttpFace>(net, told.http, told.wire, told.terms, told.hints, told.name,
+                                                 told.talks, told.rooms, told.ladder, gate, *core, boxes,
+                                                 joins, log);
+        flushing.after(kSecond);
+        line(record::Level::Info, "started",
+             {{"front", told.name}, {"http", net::text(face->at())}, {"seed", seed}});
+    }
+
+    void line(record::Level level, std::string_view what, nlohmann::ordered_json fields) {
+        log.line(level, net.now(), net.wallNow(), what, std::move(fields));
+    }
+
+    // ---- core::Watcher ----
+    nlohmann::ordered_json of(SubId id) const {
+        nlohmann::ordered_json out;
+        if (face)
+            if (const auto* trace = face->traceOf(id)) out["trace"] = trace->trace;
+        out["sub"] = id.v;
+        return out;
+    }
+    void joinSent(SubId id, int joinNo, SfuId at, int rung, Micros timeOut) override {
+        auto fields = of(id);
+        fields["join"] = joinNo;
+        fields["box"] = at.v;
+        fields["rung"] = rung;
+        fields["within_us"] = timeOut;
+        line(record::Level::Info, "join-sent", std::move(fields));
+    }
+    void joinEnded(SubId id, int joinNo, SfuId at, const core::JoinOutcome& outcome) override {
+        auto fields = of(id);
+        fields["join"] = joinNo;
+        fields["box"] = at.v;
+        fields["outcome"] = outcome.why;
+        fields["never_ran"] = outcome.neverRan;
+        fields["took_us"] = outcome.took;
+        line(record::Level::Info, "join-ended", std::move(fields));
+    }
+    void answered(SubId id, std::string_view how, Micros took) override {
+        auto fields = of(id);
+        fields["how"] = how;
+        fields["took_us"] = took;
+        line(record::Level::Info, "answered", std::move(fields));
+    }
+    void guarded(SubId id) override { line(record::Level::Error, "guard-answered", of(id)); }
+    void said(const std::string& words) override { line(record::Level::Debug, "module", {{"words", words}}); }
+
+    // ---- list::ListUser ----
+    std::vector<ListedSfu> taken(const std::vector<list::BoxLine>& lines) {
+        std::vector<ListedSfu> out;
+        for (const list::BoxLine& one : lines) {
+            ListedSfu sfu = one.sfu;
+            // The list speaks of the wall clock. A start that seems to lie ahead is one of just now.
+            if (sfu.launched > 0)
+                sfu.launched =
+                    std::clamp<Micros>(sfu.launched - wallOffset, 1, std::max<Micros>(1, net.now()));
+            if (sfu.cell.v >= static_cast<std::uint32_t>(told.machines.fleet.cells)) {
+                line(record::Level::Warning, "list-odd",
+                     {{"why", "box " + std::to_string(sfu.id.v) +
+                                  " stands in a cell that the settings do not have"}});
+                continue;
+            }
+            if (one.at.port != 0) boxes.at(sfu.id, one.at);
+            out.push_back(sfu);
+        }
+        return out;
+    }
+    void merge(const std::vector<list::BoxLine>& lines, bool whole) {
+        if (whole) held.boxes.clear();
+        for (const list::BoxLine& one : lines) {
+            const auto same = std::find_if(held.boxes.begin(), held.boxes.end(),
+                                           [&](const list::BoxLine& b) { return b.sfu.id == one.sfu.id; });
+            if (same == held.boxes.end())
+                held.boxes.push_back(one);
+            else if (one.sfu.standing == Standing::Off)
+                held.boxes.erase(same);
+            else
+                *same = one;
+        }
+        if (told.listKept.empty()) return;
+        try {
+            list::keepList(told.listKept, held, told.machines.kinds);
+        } catch (const std::exception& e) {
+            line(record::Level::Warning, "list-not-kept", {{"why", e.what()}});
+        }
+    }
+    void listIs(const std::vector<list::BoxLine>& lines, bool stale) override {
+        line(record::Level::Info, "list", {{"boxes", lines.size()}, {"stale", stale}});
+        core->listed(taken(lines), stale);
+        if (!stale) merge(lines, true);
+    }
+    void listChangedBy(const std::vector<list::BoxLine>& lines) override {
+        line(record::Level::Info, "list-changed", {{"boxes", lines.size()}});
+        core->listChanged(taken(lines));
+        merge(lines, false);
+    }
+    void listUnreachable(const std::string& why) override {
+        line(record::Level::Warning, "list-unreachable", {{"why", why}});
+        core->listFailed();
+    }
+    void listOdd(const std::string& why) override {
+        line(record::Level::Warning, "list-odd", {{"why", why}});
+    }
+
+    void readKept() {
+        if (told.listKept.empty() || !std::filesystem::exists(told.listKept)) return;
+        try {
+            std::ifstream in(told.listKept, std::ios::binary);
+            std::ostringstream text;
+            text << in.rdbuf();
+            held = list::parseList(told.listKept, text.str(), told.machines.kinds, told.listLimits);
+            listIs(held.boxes, true);
+        } catch (const std::exception& e) {
+            line(record::Level::Warning, "kept-list-odd", {{"why", e.what()}});
+        }
+    }
+
+    void lookWhetherDone() {
+        if (core->unanswered() > 0 || (face->viewers() > 0 && net.now() < stopBy)) {
+            stopping.after(20'000);
+            return;
+        }
+        face->finishUp([this] {
+            const core::Counts& c = core->counts();
+            line(record::Level::Info, "stopped",
+                 {{"asked", c.asked},
+                  {"played", c.played},
+                  {"throttled", c.throttled},
+                  {"terminated", c.terminated}});
+            log.flush();
+            if (stopped) stopped();
+        });
+    }
+};
+
+Front::Front(net::Net& net, const settings::Document& document, std::uint64_t seed, std::uint64_t epoch,
+             const OtherDecide& other)
+    : parts_(std::make_unique<Parts>(net, readAll(document), seed, epoch, other)) {}
+Front::~Front() {
+    if (parts_) {
+        parts_->face.reset();
+        parts_->core.reset();
+    }
+}
+
+net::Endpoint Front::http() const {
+    return parts_->face->at();
+}
+faces::HttpFace& Front::face() {
+    return *parts_->face;
+}
+core::Core& Front::core() {
+    return *parts_->core;
+}
+void Front::stop(Micros playOn, std::function<void()> done) {
+    parts_->line(record::Level::Info, "stopping", {{"play_on_us", playOn}});
+    parts_->face->stopTaking();
+    parts_->stopped = std::move(done);
+    parts_->stopBy = parts_->net.now() + playOn;
+    parts_->stopping.after(0);
+}
+Micros Front::stopWithin() const {
+    return parts_->told.stopWithin;
+}
+void Front::flush() {
+    parts_->log.flush();
+}
+void Front::check(const settings::Document& document) {
+    readAll(document);
+}
+
+}  // namespace valekeel::front
--- /dev/null
+++ b/src/rehearse/baselines.hpp
@@ -0,0 +1,16 @@
+// What decides in the drill in place of the module, to show what its decisions are worth: a random holder, or
+// the holder whose link was last told to be used least. Both answer in time, keep drains, seats and paid
+// set-ups, and know nothing else. Never in a front that serves.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "front/front.hpp"
+
+namespace valekeel::rehearse {
+
+// "random" or "least-load"; throws std::invalid_argument for any other.
+front::OtherDecide baseline(const std::string& name);
+
+}  // namespace valekeel::rehearse
--- /dev/null
+++ b/src/rehearse/drill.cpp
@@ -0,0 +1,521 @@
+#include "rehearse/drill.hpp"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "net/epoll.hpp"
+#include "net/process.hpp"
+#include "standins/list.hpp"
+
+namespace valekeel::rehearse {
+namespace {
+
+using standins::Line;
+
+// One front as a process, under a name that stays over its lives.
+struct FrontProcess {
+    std::string name, settings, portFile;
+    net::Process process;
+    std::optional<net::Endpoint> at;
+    Micros downSince = 0;
+    bool down = true;
+    int life = 0;
+    double cpu = 0;
+};
+
+class Drill {
+  public:
+    Drill(const Day& day, const DrillWays& ways, standins::Ledger& ledger)
+        : day_(day),
+          ways_(ways),
+          ledger_(ledger),
+          net_(day.seed),
+          chance_(day.seed),
+          fleet_(net_, day.make, day.machines.fleet.racks, day.machines.fleet.uplinkKb, day.seed + 1, ledger),
+          list_(net_, loopback(), ledger),
+          watch_(net_, [this] { watch(); }) {}
+
+    DrillResult run() {
+        net::raiseDescriptorLimit();
+        for (int id = 0; id < day_.boxes; ++id) {
+            const double link =
+                day_.machines.fleet.sizesTold ? day_.machines.fleet.linkKbPerSize : day_.linkKb;
+            fleet_.add(id, id % day_.machines.fleet.cells, link, day_.machines.fleet.places.front(),
+                       loopback());
+            tell(id, "on");
+        }
+        fronts_.resize(static_cast<std::size_t>(day_.fronts));
+        for (std::size_t i = 0; i < fronts_.size(); ++i) startFront(i);
+        watch_.after(0);
+        const Micros limit = net_.now() + 20 * kSecond;
+        while (net_.now() < limit &&
+               !std::all_of(fronts_.begin(), fronts_.end(), [](const auto& f) { return f.at.has_value(); }))
+            net_.turn(20'000);
+        for (Micros settle = net_.now() + 500'000; net_.now() < settle;) net_.turn(50'000);
+
+        begun_ = net_.now();
+        plan();
+        const Micros end = begun_ + day_.length;
+        while (net_.now() < end) {
+            net_.turn(100'000);
+            const auto second = (net_.now() - begun_) / (5 * kSecond);
+            if (second != lastSaid_) {
+                lastSaid_ = second;
+                ways_.say(std::to_string(second * 5) + " s: " + std::to_string(active_) + " players, " +
+                          std::to_string(ledger_.lines().size()) + " lines");
+            }
+        }
+        // Who is still watching goes; nobody comes any more. What is asked for is still answered.
+        closing_ = true;
+        const Micros last = net_.now() + 8 * kSecond;
+        while (net_.now() < last && active_ > 0) net_.turn(50'000);
+        for (FrontProcess& f : fronts_) f.process.askToStop();
+        const Micros until = net_.now() + 5 * kSecond;
+        while (net_.now() < until &&
+               std::any_of(fronts_.begin(), fronts_.end(), [](auto& f) { return f.process.running(); }))
+            net_.turn(50'000);
+        DrillResult result;
+        for (FrontProcess& f : fronts_) {
+            f.process.kill();
+            result.frontCpu += f.cpu + f.process.cpuSeconds();
+            if (f.down) down_.emplace(f.name, std::pair{f.downSince, net_.now()});
+        }
+        result.troublesAtOnce = mostAtOnce();
+        judge(day_, ledger_, result);
+        for (const auto& [from, until2, boxes] : lies_) {
+            for (const Line& l : ledger_.lines()) {
+                if (l.what != "arrive" || l.at < from || l.at > until2) continue;
+                ++result.joinsInLies;
+                if (boxes.count(l.box)) ++result.liedTo;
+            }
+        }
+        result.breaches = audit::all(ledger_, day_.terms, down_);
+        for (const audit::Breach& b : result.breaches)
+            if (b.rule == 1 && b.what.find("no answer") != std::string::npos) ++result.never;
+        return result;
+    }
+
+  private:
+    static net::Endpoint loopback() { return *net::endpointOf("127.0.0.1:0"); }
+
+    // ---- fronts ----
+    void startFront(std::size_t i) {
+        FrontProcess& f = fronts_[i];
+        f.name = "front" + std::to_string(i);
+        const std::string base = ways_.folder + "/" + f.name;
+        if (f.life++ == 0) {
+            f.settings = base + ".kdl";
+            f.portFile = base + ".port";
+            std::ofstream out(f.settings);
+            out << "front \"" << f.name << "\" fronts=" << day_.fronts << " stop-within=\"2s\"\n"
+                << settings::printKdl(day_.siteNodes) << "http listen=\"127.0.0.1:0\"\n"
+                << "list stream=\"" << net::text(list_.at()) << "\" path=\"/boxes?front=" << f.name
+                << "\" keep=\"" << base << ".list\" silent-for=\"4s\"\n"
+                << "log file=\"" << base << ".log\"\n";
+        }
+        std::filesystem::remove(f.portFile);
+        std::vector<std::string> args{
+            ways_.program,
+            "serve",
+            f.settings,
+            "--port-file",
+            f.portFile,
+            "--seed",
+            std::to_string(day_.seed * 100 + i * 10 + static_cast<std::size_t>(f.life))};
+        if (!ways_.decisions.empty()) {
+            args.push_back("--decisions");
+            args.push_back(ways_.decisions);
+        }
+        f.process = net::Process(args);
+        f.at.reset();
+    }
+    void watch() {
+        watch_.after(50'000);
+        for (FrontProcess& f : fronts_) {
+            if (f.at) continue;
+            std::ifstream in(f.portFile);
+            std::string text;
+            if (!std::getline(in, text)) continue;
+            if ((f.at = net::endpointOf(text)) && f.down) {
+                if (f.downSince > 0) down_.emplace(f.name, std::pair{f.downSince, net_.now()});
+                f.down = false;
+            }
+        }
+    }
+    void frontIsDown(FrontProcess& f) {
+        f.downSince = net_.now();
+        f.down = true;
+        f.at.reset();
+    }
+
+    // ---- the list ----
+    void tell(int id, const std::string& standing) {
+        standins::Box& box = fleet_.box(id);
+        standins::ListedBox listed;
+        listed.id = id;
+        listed.cell = box.cell();
+        listed.at = net::text(box.at());
+        listed.kind = day_.machines.kinds.front();
+        listed.standing = standing;
+        listed.size = 1;
+        if (launched_.count(id)) listed.launchedWall = launched_[id];
+        list_.put({listed});
+    }
+
+    // ---- players ----
+    std::optional<standins::Player::FrontAt> pickFront() {
+        std::vector<const FrontProcess*> up;
+        for (const FrontProcess& f : fronts_)
+            if (f.at) up.push_back(&f);
+        if (up.empty() || closing_) return std::nullopt;
+        const auto& f = *up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(chance_)];
+        return standins::Player::FrontAt{f.name, *f.at};
+    }
+
+    standins::PlayerPlan planOf(const Crowd& crowd) {
+        std::vector<double> rooms, titles;
+        for (const auto& [part, room] : crowd.rooms) rooms.push_back(part);
+        for (const auto& [weight, title] : crowd.titles) titles.push_back(weight);
+        const auto roll = [&] { return std::uniform_real_distribution<double>(0, 1)(chance_); };
+        standins::PlayerPlan plan;
+        plan.room =
+            crowd.rooms[std::discrete_distribution<std::size_t>(rooms.begin(), rooms.end())(chance_)].second;
+        plan.title =
+            crowd.titles[std::discrete_distribution<std::size_t>(titles.begin(), titles.end())(chance_)]
+                .second;
+        plan.watch = std::uniform_int_distribution<Micros>(crowd.watchLeast, crowd.watchMost)(chance_);
+        plan.returns = crowd.returns;
+        plan.honours = roll() < crowd.honours;
+        if (roll() < crowd.badHints) {
+            constexpr standins::HintStyle kBad[] = {
+                standins::HintStyle::None, standins::HintStyle::Broken, standins::HintStyle::Doubled,
+                standins::HintStyle::Oversized, standins::HintStyle::Contradicting};
+            plan.hints = kBad[std::uniform_int_distribution<std::size_t>(0, 4)(chance_)];
+        } else {
+            plan.hints = roll() < 0.5 ? standins::HintStyle::Headers : standins::HintStyle::Query;
+        }
+        if (roll() < crowd.smallScreens && day_.ladder.kb.size() > 1)
+            plan.topKbits = std::llround(day_.ladder.kb[day_.ladder.kb.size() - 2] * 8);
+        return plan;
+    }
+
+    void comeOne(const Crowd& crowd) {
+        const int number = static_cast<int>(players_.size());
+        players_.push_back(std::make_unique<standins::Player>(
+            net_, number, planOf(crowd), [this] { return pickFront(); }, chance_(), day_.ladder.worth,
+            ledger_, [this](standins::Player&) { --active_; }));
+        ++active_;
+        players_.back()->start();
+    }
+
+    void at(Micros when, std::function<void()> what) {
+        timers_.push_back(std::make_unique<net::Timer>(net_, std::move(what)));
+        timers_.back()->at(begun_ + when);
+    }
+
+    // ---- the script ----
+    void plan() {
+        for (const Crowd& crowd : day_.crowds)
+            for (int i = 0; i < crowd.players; ++i)
+                at(crowd.at + std::uniform_int_distribution<Micros>(0, crowd.over)(chance_),
+                   [this, &crowd] { comeOne(crowd); });
+        for (const DayTrouble& t : day_.troubles) {
+            at(t.at, [this, &t] {
+                ways_.say("trouble: " + t.kind);
+                begin(t);
+            });
+            if (t.lasts > 0 && t.kind != "rolling-deploy") at(t.at + t.lasts, [this, &t] { end(t); });
+        }
+    }
+
+    template <class Do>
+    void each(const DayTrouble& t, Do&& what) {
+        for (const int id : t.boxes) what(fleet_.box(id));
+    }
+
+    // A box's process is replaced: it drains where told, goes, and comes back cold.
+    void takeAway(int id, const char* why) { fleet_.box(id).die(why); }
+    void bringBack(int id) {
+        standins::Box& box = fleet_.box(id);
+        if (box.up()) return;
+        box.start(true);
+        launched_[id] = net_.wallNow();
+        at(net_.now() - begun_ + 600'000, [this, id] {  // the list learns of it a little later
+            if (fleet_.box(id).up()) tell(id, "on");
+        });
+    }
+
+    void begin(const DayTrouble& t) {
+        const std::string& k = t.kind;
+        if (k == "box-dies") each(t, [&](auto& b) { takeAway(b.id(), "died"); });
+        if (k == "box-silent") each(t, [&](auto& b) { b.trouble.silent = true; });
+        if (k == "box-pauses") each(t, [&](auto& b) { b.trouble.pausedUntil = net_.now() + t.lasts; });
+        if (k == "box-drains" || k == "boxes-taken") {
+            const Micros drain = k == "boxes-taken" ? kSecond : std::max<Micros>(t.time, 1);
+            each(t, [&](auto& b) {
+                b.trouble.draining = true;
+                tell(b.id(), "fading");
+                at(net_.now() - begun_ + drain, [this, id = b.id()] { takeAway(id, "died"); });
+            });
+        }
+        if (k == "rolling-deploy") {
+            const Micros step = t.lasts / std::max<Micros>(1, static_cast<Micros>(t.boxes.size()));
+            Micros when = net_.now() - begun_;
+            for (const int id : t.boxes) {
+                at(when, [this, id] {
+                    fleet_.box(id).trouble.draining = true;
+                    tell(id, "fading");
+                });
+                at(when + t.time, [this, id] { takeAway(id, "died"); });
+                at(when + t.time + kSecond, [this, id] { bringBack(id); });
+                when += step;
+            }
+        }
+        if (k == "boxes-age") {
+            for (int part = 1; part <= 10; ++part)
+                at(net_.now() - begun_ + t.lasts * (part - 1) / 10, [this, &t, part] {
+                    each(t, [&](auto& b) { b.trouble.setUpFactor = 1 + (t.size - 1) * part / 10; });
+                });
+        }
+        if (k == "fails-fast" || k == "lies-idle")
+            each(t, [&](auto& b) {
+                b.trouble.failPart = t.size;
+                b.trouble.liesIdle = k == "lies-idle";
+            });
+        if (k == "lies-idle")
+            lies_.emplace_back(net_.now(), net_.now() + t.lasts,
+                               std::set<int>(t.boxes.begin(), t.boxes.end()));
+        if (k == "answers-lost") each(t, [&](auto& b) { b.trouble.losePart = t.size; });
+        if (k == "answers-late") each(t, [&](auto& b) { b.trouble.answersLate = t.time; });
+        if (k == "set-ups-slow") each(t, [&](auto& b) { b.trouble.setUpFactor = t.size; });
+        if (k == "link-weak") each(t, [&](auto& b) { b.trouble.linkFactor = 1 / t.size; });
+        if (k == "all-links-weak")
+            for (auto& [id, b] : fleet_.boxes()) b->trouble.linkFactor = 1 / t.size;
+        if (k == "uplink-weak")
+            for (const int rack : t.boxes) fleet_.uplinkFactor[static_cast<std::size_t>(rack)] = 1 / t.size;
+        if (k == "reports-late")
+            for (auto& [id, b] : fleet_.boxes()) b->trouble.reportsLate = t.time;
+        if (k == "list-unreachable") list_.unreachable(true);
+        if (k == "list-late") list_.late = t.time;
+        if (k == "list-repeats") list_.repeats = true;
+        if (k == "list-skips") list_.skips = true;
+        if (k == "list-cut") list_.cutShort();
+        if (k == "front-dies")
+            for (const int i : t.boxes) {
+                FrontProcess& f = fronts_[static_cast<std::size_t>(i)];
+                f.process.kill();
+                f.cpu += f.process.cpuSeconds();
+                frontIsDown(f);
+            }
+        if (k == "front-stops")
+            for (const int i : t.boxes) {
+                FrontProcess& f = fronts_[static_cast<std::size_t>(i)];
+                f.process.askToStop();
+                // It answers what it took, and is not asked any more; it ends by itself.
+                f.at.reset();
+                stoppedAsked_ = net_.now();
+            }
+        if (k == "front-stalls")
+            for (const int i : t.boxes) fronts_[static_cast<std::size_t>(i)].process.standStill();
+        if (k == "rush" && !day_.crowds.empty()) {
+            const auto more = static_cast<int>(t.size);
+            for (int i = 0; i < more; ++i)
+                at(net_.now() - begun_ +
+                       std::uniform_int_distribution<Micros>(0, std::max<Micros>(1, t.lasts))(chance_),
+                   [this] { comeOne(day_.crowds.front()); });
+        }
+    }
+
+    void end(const DayTrouble& t) {
+        const std::string& k = t.kind;
+        if (k == "box-dies" || k == "box-drains" || k == "boxes-taken")
+            each(t, [&](auto& b) { bringBack(b.id()); });
+        if (k == "box-silent")
+            each(t, [&](auto& b) {
+                takeAway(b.id(), "died");
+                bringBack(b.id());
+            });
+        if (k == "box-pauses") each(t, [&](auto& b) { b.resume(); });
+        if (k == "boxes-age")
+            each(t, [&](auto& b) {
+                b.trouble.setUpFactor = 1;
+                takeAway(b.id(), "died");
+                at(net_.now() - begun_ + 2 * kSecond, [this, id = b.id()] { bringBack(id); });
+            });
+        if (k == "fails-fast" || k == "lies-idle")
+            each(t, [&](auto& b) {
+                b.trouble.failPart = 0;
+                b.trouble.liesIdle = false;
+            });
+        if (k == "answers-lost") each(t, [&](auto& b) { b.trouble.losePart = 0; });
+        if (k == "answers-late") each(t, [&](auto& b) { b.trouble.answersLate = 0; });
+        if (k == "set-ups-slow") each(t, [&](auto& b) { b.trouble.setUpFactor = 1; });
+        if (k == "link-weak") each(t, [&](auto& b) { b.trouble.linkFactor = 1; });
+        if (k == "all-links-weak")
+            for (auto& [id, b] : fleet_.boxes()) b->trouble.linkFactor = 1;
+        if (k == "uplink-weak")
+            for (const int rack : t.boxes) fleet_.uplinkFactor[static_cast<std::size_t>(rack)] = 1;
+        if (k == "reports-late")
+            for (auto& [id, b] : fleet_.boxes()) b->trouble.reportsLate = 0;
+        if (k == "list-unreachable") list_.unreachable(false);
+        if (k == "list-late") list_.late = 0;
+        if (k == "list-repeats") list_.repeats = false;
+        if (k == "list-skips") list_.skips = false;
+        if (k == "front-dies" || k == "front-stops")
+            for (const int i : t.boxes) {
+                FrontProcess& f = fronts_[static_cast<std::size_t>(i)];
+                if (k == "front-stops") {
+                    f.process.kill();  // it had its time to stop
+                    f.cpu += f.process.cpuSeconds();
+                    f.downSince = net_.now();
+                    f.down = true;
+                }
+                startFront(static_cast<std::size_t>(i));
+            }
+        if (k == "front-stalls")
+            for (const int i : t.boxes) fronts_[static_cast<std::size_t>(i)].process.goOn();
+    }
+
+    std::size_t mostAtOnce() const {
+        std::size_t most = 0;
+        for (const DayTrouble& t : day_.troubles) {
+            std::size_t now = 0;
+            for (const DayTrouble& o : day_.troubles)
+                now += o.at <= t.at && t.at < o.at + std::max<Micros>(1, o.lasts);
+            most = std::max(most, now);
+        }
+        return most;
+    }
+
+    const Day& day_;
+    const DrillWays& ways_;
+    standins::Ledger& ledger_;
+    net::EpollNet net_;
+    std::mt19937_64 chance_;
+    standins::BoxFleet fleet_;
+    standins::ListServer list_;
+    net::Timer watch_;
+    std::vector<FrontProcess> fronts_;
+    std::map<int, Micros> launched_;
+    std::vector<std::unique_ptr<standins::Player>> players_;
+    std::deque<std::unique_ptr<net::Timer>> timers_;
+    std::vector<std::tuple<Micros, Micros, std::set<int>>> lies_;
+    audit::Down down_;
+    Micros begun_ = 0, lastSaid_ = -1, stoppedAsked_ = 0;
+    int active_ = 0;
+    bool closing_ = false;
+};
+
+}  // namespace
+
+DrillResult drill(const Day& day, const DrillWays& ways, standins::Ledger& ledger) {
+    return Drill(day, ways, ledger).run();
+}
+
+void judge(const Day& day, const standins::Ledger& ledger, DrillResult& result) {
+    namespace bh = boost::histogram;
+    // A log axis from 0.1 ms to 100 s, 40 bins a decade: within 6% of the true value.
+    using Histogram =
+        decltype(bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(240, 1e2, 1e8)));
+    std::map<std::string, Histogram> times;
+    std::map<std::string, const Line*> asked;
+    double benefitAsked = 0, benefitServed = 0;
+    std::map<std::string, double> benefit;
+    for (const RoomType& r : day.rooms.types) benefit[r.name] = r.benefit;
+    std::set<std::string> paidSubs;
+    for (const Line& l : ledger.lines()) {
+        const auto room = day.terms.rooms.find(l.room);
+        const bool paid = room != day.terms.rooms.end() && room->second.paid;
+        if (l.what == "ask") {
+            ++result.asked;
+            asked[l.trace] = &l;
+            if (l.attempt == 1) benefitAsked += benefit[l.room];
+        } else if (l.what == "answer") {
+            auto& h = times
+                          .try_emplace(
+                              l.room, bh::make_histogram(
+                                          bh::axis::regular<double, bh::axis::transform::log>(240, 1e2, 1e8)))
+                          .first->second;
+            h(std::max(1.0, l.number));
+            auto& t = result.toAnswer[l.room];
+            ++t.count;
+            t.max = std::max(t.max, static_cast<Micros>(l.number));
+            if (l.status == 200) {
+                ++result.played;
+                if (paid) paidSubs.insert(l.trace);
+                const auto ask = asked.find(l.trace);
+                if (ask != asked.end() && l.attempt == 1 && l.number <= ask->second->number)
+                    benefitServed += benefit[l.room];
+            } else if (l.status == 503) {
+                ++result.throttled;
+            } else {
+                ++result.terminated;
+            }
+        } else if (l.what == "second-answer") {
+            ++result.twice;
+        } else if (l.what == "no-answer") {
+            ++result.excused;
+        } else if (l.what == "charged" && paid) {
+            ++result.paidSetUps;
+        } else if (l.what == "arrive") {
+            ++result.joinsAt[l.box];
+        } else if (l.what == "segment" && l.player >= 0) {
+            ++result.segments;
+        } else if (l.what == "segment-lost") {
+            ++result.lost;
+        } else if (l.what == "gap") {
+            ++result.gaps;
+        }
+    }
+    result.paidSubs = paidSubs.size();
+    result.service = benefitAsked > 0 ? benefitServed / benefitAsked : 0;
+    for (auto& [room, h] : times) {
+        double total = 0;
+        for (auto&& bin : bh::indexed(h, bh::coverage::all)) total += *bin;
+        const auto quantile = [&](double part) {
+            double seen = 0;
+            for (auto&& bin : bh::indexed(h, bh::coverage::all)) {
+                seen += *bin;
+                if (seen >= part * total) return static_cast<Micros>(std::min(bin.bin().upper(), 1e8));
+            }
+            return Micros{0};
+        };
+        auto& t = result.toAnswer[room];
+        t.p50 = std::min(quantile(0.5), t.max);
+        t.p99 = std::min(quantile(0.99), t.max);
+    }
+}
+
+std::string told(const DrillResult& r) {
+    std::ostringstream out;
+    out << "asked " << r.asked << ", played " << r.played << ", throttled " << r.throttled << ", terminated "
+        << r.terminated << "\nanswered twice " << r.twice << ", never " << r.never << " (" << r.excused
+        << " connections of asks broke or ran out, those of killed fronts among them)\npaid set-ups "
+        << r.paidSetUps << " over paid subscriptions played " << r.paidSubs << "\nservice " << std::fixed;
+    out.precision(3);
+    out << r.service << ", segments " << r.segments << ", lost " << r.lost << ", gaps " << r.gaps
+        << ", CPU of all fronts " << r.frontCpu << " s\n";
+    for (const auto& [room, t] : r.toAnswer)
+        out << "time to answer, " << room << ": p50 " << t.p50 / 1000 << " ms, p99 " << t.p99 / 1000
+            << " ms, max " << t.max / 1000 << " ms (" << t.count << ")\n";
+    if (r.joinsInLies > 0)
+        out << "joins to boxes that lied: " << r.liedTo << " of " << r.joinsInLies << " while they did\n";
+    out << "troubles at the same time, at most: " << r.troublesAtOnce << "\n";
+    out << (r.breaches.empty() ? "rules: all six kept\n" : "RULES BROKEN:\n");
+    std::size_t shown = 0;
+    for (const audit::Breach& b : r.breaches) {
+        if (++shown > 20) {
+            out << "  ... " << r.breaches.size() << " in all\n";
+            break;
+        }
+        out << "  rule " << b.rule << ": " << b.what << "\n";
+    }
+    return out.str();
+}
+
+}  // namespace valekeel::rehearse
--- /dev/null
+++ b/src/standins/ledger.hpp
@@ -0,0 +1,32 @@
+// What a stand-in saw on its own sockets, line by line. The audit judges by these lines alone.
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "model/ids.hpp"
+
+namespace valekeel::standins {
+
+struct Line {
+    Micros at = 0;     // monotonic, one clock for all on this machine
+    std::string what;  // see each stand-in
+    std::string trace, front, sub, room, title;
+    int box = -1, player = -1, rung = -1, join = -1, status = 0, attempt = 0;
+    double number = 0;
+};
+
+class Ledger {
+  public:
+    void add(Line line) { lines_.push_back(std::move(line)); }
+    const std::vector<Line>& lines() const { return lines_; }
+    void write(std::ostream&) const;    // JSON lines
+    static Ledger read(std::istream&);  // throws std::runtime_error, naming the line
+
+  private:
+    std::vector<Line> lines_;
+};
+
+}  // namespace valekeel::standins
--- /dev/null
+++ b/src/standins/player.cpp
@@ -0,0 +1,299 @@
+#include "standins/player.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace valekeel::standins {
+namespace {
+
+std::string hex(std::uint64_t v) {
+    char out[17];
+    std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(v));
+    return out;
+}
+
+}  // namespace
+
+Player::Player(net::Net& net, int number, const PlayerPlan& plan, Pick pick, std::uint64_t seed,
+               const std::vector<double>& worth, Ledger& ledger, std::function<void(Player&)> done)
+    : net_(net),
+      number_(number),
+      plan_(plan),
+      pick_(std::move(pick)),
+      chance_(seed),
+      worth_(worth),
+      ledger_(ledger),
+      done_(std::move(done)),
+      timer_(net,
+             [this] {
+                 if (state_ == State::Asking)
+                     gaveUp();
+                 else if (state_ == State::Waiting)
+                     next();
+                 else if (state_ == State::Idle)
+                     ask();
+                 else if (state_ != State::Over) {  // a fetch that hangs
+                     ledger_.add(line("segment-lost"));
+                     comeAgain(true, std::nullopt);  // it played, and hangs
+                 }
+             }),
+      bury_(net, [this] { dead_.reset(); }) {}
+Player::~Player() = default;
+
+Line Player::line(const char* what) const {
+    Line l;
+    l.at = net_.now();
+    l.what = what;
+    l.player = number_;
+    l.trace = trace_;
+    l.front = front_;
+    l.room = plan_.room.name;
+    l.title = plan_.title;
+    l.attempt = attempt_;
+    return l;
+}
+
+void Player::start() {
+    ask();
+}
+
+void Player::closeConnection() {
+    if (conn_ && conn_->spokeUnasked()) ledger_.add(line("second-answer"));
+    dead_ = std::move(conn_);
+    bury_.after(0);
+}
+
+http::Fields Player::fields(const char* ot, std::string& target) {
+    http::Fields out;
+    out.add("traceparent", "00-" + trace_ + "-" + hex(chance_() | 1) + "-01");
+    out.add("User-Agent", "valekeel-play");
+    const auto queried = [&](const std::string& cmcd) {
+        target += (target.find('?') == std::string::npos ? "?" : "&") + std::string("CMCD=") +
+                  http::percentEncoded(cmcd);
+    };
+    const std::string sid = "sid=\"" + sid_ + "\"", cid = "cid=\"" + plan_.title + "\"";
+    const std::string tb = plan_.topKbits > 0 ? "tb=" + std::to_string(plan_.topKbits) : "";
+    const std::string bl = "bl=" + std::to_string(static_cast<long long>(buffered_ * 1000));
+    switch (plan_.hints) {
+        case HintStyle::Headers:
+            out.add("CMCD-Object",
+                    std::string(ot[0] == 'a' ? "d=1000," : "") + "ot=" + ot + (tb.empty() ? "" : "," + tb));
+            out.add("CMCD-Request", bl + (segments_ == 0 ? ",su" : ""));
+            out.add("CMCD-Session", cid + ",sf=h," + sid + ",st=v");
+            break;
+        case HintStyle::Query:
+            queried(bl + "," + cid + ",ot=" + ot + ",sf=h," + sid + ",st=v" + (tb.empty() ? "" : "," + tb));
+            break;
+        case HintStyle::None:
+            break;
+        case HintStyle::Json:
+            out.add("CMCD-Session", sid);
+            break;
+        case HintStyle::Broken:
+            out.add("CMCD-Session", "sid=\"" + sid_ + ",cid=,,=\"\\\"\"\"st=q;;\x01");
+            out.add("CMCD-Request", "bl=-5,dl=abc,mtp=\"7\",su=3,=");
+            out.add("CMCD-Object", "br=99999999999999999999,ot=zz,tb");
+            break;
+        case HintStyle::Doubled:
+            out.add("CMCD-Session", sid + ",sid=\"other\"," + cid);
+            out.add("CMCD-Session", "sid=\"third\",sf=h");
+            out.add("CMCD-Request", "ot=" + std::string(ot) + ",bl=1,bl=2");
+            break;
+        case HintStyle::Oversized:
+            out.add("CMCD-Session", sid);
+            out.add("CMCD-Request", "com.example-pad=\"" + std::string(5'000, 'x') + "\"");
+            out.add("CMCD-Status", "com.example-more=\"" + std::string(300, 'y') + "\"");
+            break;
+        case HintStyle::Contradicting:
+            out.add("CMCD-Object", "br=9000,ot=" + std::string(ot) + ",tb=100");
+            out.add("CMCD-Request", "bl=30000,dl=900000");
+            out.add("CMCD-Session", sid);
+            out.add("CMCD-Status", "bs");
+            break;
+    }
+    return out;
+}
+
+void Player::fetch(const std::string& path) {
+    std::string target = path;
+    const http::Fields f = fields(state_ == State::Asking || state_ == State::Playlist ? "m"
+                                  : state_ == State::Init                              ? "i"
+                                                                                       : "av",
+                                  target);
+    if (!conn_ || !conn_->idle()) {
+        closeConnection();
+        conn_ = std::make_unique<http::Connection>(net_, at_, http::WireLimits{}, 2 * kSecond);
+    }
+    head_ = {};
+    body_.clear();
+    bodyBytes_ = 0;
+    sentAt_ = net_.now();
+    conn_->fetch(http::requestBytes("GET", target, at_, f), false, *this);
+}
+
+void Player::ask() {
+    const auto front = pick_();
+    if (!front) {
+        state_ = State::Idle;
+        timer_.after(300'000);
+        return;
+    }
+    closeConnection();
+    ++attempt_;
+    if (sid_.empty() || plan_.hints != HintStyle::Headers || attempt_ > 1)
+        sid_ = hex(chance_()).substr(0, 8) + "-" + std::to_string(number_) + "-" + std::to_string(attempt_);
+    trace_ = hex(chance_()) + hex(chance_() | 1);
+    front_ = front->name;
+    at_ = front->at;
+    state_ = State::Asking;
+    segments_ = 0;
+    buffered_ = 0;
+    haveNo_ = false;
+    map_.clear();
+    askedAt_ = net_.now();
+    Line l = line("ask");
+    l.number = static_cast<double>(plan_.room.joinObjective);
+    ledger_.add(l);
+    timer_.after(plan_.room.clientTimeout);
+    fetch("/talk/" + http::percentEncoded(plan_.title) +
+          "/main.m3u8?room=" + http::percentEncoded(plan_.room.name));
+}
+
+void Player::gaveUp() {
+    Line l = line("no-answer");
+    l.status = 2;
+    l.number = static_cast<double>(net_.now() - askedAt_);
+    ledger_.add(l);
+    comeAgain(!plan_.room.paid, std::nullopt);
+}
+
+void Player::comeAgain(bool mayRepeat, std::optional<Micros> told) {
+    closeConnection();
+    timer_.cancel();
+    const bool timeLeft = until_ == 0 || net_.now() < until_;
+    if (!mayRepeat || returns_ >= plan_.returns || !timeLeft) return leave();
+    ++returns_;
+    state_ = State::Idle;
+    const Micros wait = told && plan_.honours ? *told : plan_.back;
+    timer_.after(wait + std::uniform_int_distribution<Micros>(0, 100'000)(chance_));
+}
+
+void Player::leave() {
+    if (state_ == State::Over) return;
+    state_ = State::Over;
+    timer_.cancel();
+    Line l = line("leave");
+    l.number = static_cast<double>(segments_);
+    ledger_.add(l);
+    closeConnection();
+    done_(*this);
+}
+
+void Player::answered(const http::ResponseHead& head) {
+    head_ = head;
+}
+void Player::piece(std::string_view bytes) {
+    bodyBytes_ += bytes.size();
+    if (state_ == State::Asking || state_ == State::Playlist) body_ += bytes;
+}
+
+void Player::failed(http::Failed) {
+    const State was = state_;
+    if (was == State::Asking) {
+        Line l = line("no-answer");
+        l.status = 1;
+        l.number = static_cast<double>(net_.now() - askedAt_);
+        ledger_.add(l);
+        return comeAgain(!plan_.room.paid, std::nullopt);
+    }
+    if (was == State::Over || was == State::Idle) return;
+    ledger_.add(line("segment-lost"));
+    comeAgain(true, std::nullopt);  // it played, and broke: it may come again
+}
+
+void Player::fetched(bool kept) {
+    if (!kept) closeConnection();
+    const int status = head_.status;
+    if (state_ == State::Asking) {
+        timer_.cancel();
+        Line l = line("answer");
+        l.status = status;
+        l.number = static_cast<double>(net_.now() - askedAt_);
+        ledger_.add(l);
+        if (status == 200) {
+            const auto read = hls::readMultivariant(body_);
+            if (!read.got) return leave();
+            media_ = hls::resolved("/talk/x/main.m3u8", read.got->variants.front().uri).value_or("");
+            base_ = media_;
+            if (until_ == 0) until_ = net_.now() + plan_.watch;
+            everPlayed_ = true;
+            startedAt_ = net_.now();
+            state_ = State::Playlist;
+            timer_.after(15 * kSecond);
+            fetch(media_);
+            return;
+        }
+        std::optional<Micros> told;
+        if (const std::string* after = head_.fields.find("Retry-After"))
+            told = std::atoll(after->c_str()) * kSecond;
+        return comeAgain(status == 503 || !plan_.room.paid, told);
+    }
+    if (status != 200) {
+        if (status == 429) {
+            state_ = State::Waiting;
+            timer_.after(300'000);
+            return;
+        }
+        ledger_.add(line("segment-lost"));
+        return comeAgain(true, std::nullopt);
+    }
+    timer_.cancel();
+    if (state_ == State::Playlist) {
+        auto read = hls::readMedia(body_);
+        if (!read.got) {
+            ledger_.add(line("segment-lost"));
+            return comeAgain(true, std::nullopt);
+        }
+        list_ = std::move(*read.got);
+        // What was shown once must be shown alike: a sequence that goes back is a broken playlist.
+        if (haveNo_ && list_.firstNo > nextNo_) ledger_.add(line("gap"));
+        if (!haveNo_) nextNo_ = list_.firstNo;
+        haveNo_ = true;
+    } else if (state_ == State::Segment) {
+        Line l = line("segment");
+        l.number = static_cast<double>(net_.now() - sentAt_);
+        ledger_.add(l);
+        ++segments_;
+        ++nextNo_;
+    }
+    next();
+}
+
+void Player::next() {
+    if (net_.now() >= until_) return leave();
+    const std::uint64_t end = list_.firstNo + list_.segments.size();
+    if (nextNo_ >= end) {
+        if (list_.ended) return leave();
+        if (state_ != State::Waiting) {
+            state_ = State::Waiting;
+            timer_.after(std::max<Micros>(100'000, list_.target / 2));
+            return;
+        }
+        state_ = State::Playlist;
+        timer_.after(15 * kSecond);
+        return fetch(media_);
+    }
+    const hls::Segment& s = list_.segments[nextNo_ - list_.firstNo];
+    timer_.after(15 * kSecond);
+    if (s.map >= 0 && list_.maps[static_cast<std::size_t>(s.map)].uri != map_) {
+        map_ = list_.maps[static_cast<std::size_t>(s.map)].uri;
+        state_ = State::Init;
+        return fetch(hls::resolved(base_, map_).value_or("/"));
+    }
+    buffered_ = std::max(
+        0.0, seconds(s.duration) * static_cast<double>(segments_) - seconds(net_.now() - startedAt_));
+    state_ = State::Segment;
+    fetch(hls::resolved(base_, s.uri).value_or("/"));
+}
+
+}  // namespace valekeel::standins
