--- a/src/boxes/boxes.cpp
+++ b/src/boxes/boxes.cpp
@@ -129,6 +129,7 @@
             box_->reuse.idle(all_.net_.now(), id_);
         } else {
             box_->reuse.closed(id_, true);
+            it->second.conn->abandon();
             all_.dead_.push_back(std::move(it->second.conn));
             box_->conns.erase(it);
             all_.bury_.after(0);
--- a/src/faces/http/face.cpp
+++ b/src/faces/http/face.cpp
@@ -597,6 +597,7 @@
     if (viewer.fetches >= terms_.fetchesEach) return refuse(exchange, 429, "too many fetches at once");
     const std::uint64_t key = nextFetch_++;
     auto& relay = relays_[key] = std::make_unique<Relay>(*this, key, viewer, exchange, what, value, rung);
+    if (what == Relay::What::Segment) viewer.window.fetched(value);
     if (what == Relay::What::Segment && rung != viewer.rungSeen) {
         viewer.rungSeen = rung;
         core_.rungFetched(viewer.sub, rung);
--- a/src/faces/http/viewer.cpp
+++ b/src/faces/http/viewer.cpp
@@ -11,7 +11,7 @@
         nextAt_ += durations[next_];
         ++next_;
     }
-    while (listed_.size() > 1) {
+    while (listed_.size() > 1 && listed_.front().no < seen_) {
         const Micros end = firstAt_ + durations[listed_.front().no];
         if (end >= played - terms_.behind) break;
         firstAt_ = end;
--- a/src/faces/http/viewer.hpp
+++ b/src/faces/http/viewer.hpp
@@ -2,6 +2,7 @@
 // listed once stays as it was, so that a change of rung never breaks what is being fetched. No I/O, no clock.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <string>
@@ -26,6 +27,9 @@
     // Lists what a viewer may have, `played` after its start, and what is new at the rung given. `durations`:
     // of the talk's segments.
     void extend(Micros played, int rung, const std::vector<Micros>& durations);
+    // Segments before it are taken to have been seen. What lies behind stays listed until then: a viewer
+    // whose segments come slowly must not lose its place.
+    void fetched(std::uint64_t no) { seen_ = std::max(seen_, no); }
     // The rung that a segment was listed at, if it was.
     const Listed* find(std::uint64_t no) const;
     // With URIs "init-RUNG.mp4" and "NO.m4s", relative to it.
@@ -36,7 +40,7 @@
   private:
     WindowTerms terms_;
     std::deque<Listed> listed_;
-    std::uint64_t next_ = 0;
+    std::uint64_t next_ = 0, seen_ = 0;
     Micros nextAt_ = 0, firstAt_ = 0;  // where in the talk the next and the first listed one begin
 };
 
--- a/src/hints/cmcd.cpp
+++ b/src/hints/cmcd.cpp
@@ -285,12 +285,6 @@
         out_.tb.reset();
         drop(Dropped::Contradicts);
     }
-    // A buffer that is full can't be starving.
-    if (out_.starved.value_or(false) && out_.bl.value_or(0) > 10'000) {
-        out_.bl.reset();
-        out_.starved.reset();
-        drop(Dropped::Contradicts);
-    }
     // The deadline is the buffer over the play rate: one that lies far beyond it was made up.
     if (out_.dl && out_.bl && *out_.dl > 2 * *out_.bl + 10'000) {
         out_.dl.reset();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -55,6 +55,13 @@
     work();
 }
 
+void Connection::abandon() {
+    connecting_.cancel();
+    user_ = nullptr;
+    ended_ = true;
+    stream_.reset();
+}
+
 void Connection::pause() {
     paused_ = true;
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -39,6 +39,8 @@
 
     // `head` is the request as it goes out, body included. Not while another is out.
     void fetch(std::string head, bool headOnly, FetchUser&);
+    // Whoever asked wants to hear no more: the stream is closed, and its user is not called again.
+    void abandon();
     void pause();  // no more pieces are wanted now: the peer is made to wait
     void resume();
     bool idle() const { return !user_ && stream_ && !ended_; }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -173,6 +173,7 @@
                 started_ = true;
                 guard_.after(server_.limits_.headWithin);
             }
+            if (!parser_->headDone()) softenHead();
             const Parser::Fed fed = parser_->feed(in_);
             in_.erase(0, fed.used);
             if (fed.badStatus) {
@@ -194,6 +195,17 @@
         if (mayRead_) again_ = true;
     }
 
+    // Control characters within a head are no reason to lose a viewer whose hints are broken: RFC 9110,
+    // section 5.5, lets them be replaced. CR, LF and NUL stay as they are, and are refused where they don't
+    // belong.
+    void softenHead() {
+        const auto end = std::min(in_.find("\r\n\r\n"), in_.size());
+        for (std::size_t i = 0; i < end; ++i) {
+            const char c = in_[i];
+            if ((c > 0 && c < 0x20 && c != '\t' && c != '\r' && c != '\n') || c == 0x7f) in_[i] = '?';
+        }
+    }
+
     // Reads on while there is room: what waits behind an answer that is owed is bounded by the head's limit.
     void take() {
         const std::size_t room = server_.limits_.headBytes + kChunk;
--- a/src/list/follow.cpp
+++ b/src/list/follow.cpp
@@ -161,6 +161,7 @@
     }
     void close() {
         silent_.cancel();
+        if (conn_) conn_->abandon();
         dead_ = std::move(conn_);
         bury_.after(0);
     }
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,223 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+#include "admission/gate.hpp"
+#include "boxes/outcome.hpp"
+#include "boxes/reuse.hpp"
+
+namespace valekeel {
+namespace {
+
+using namespace admission;
+
+TEST(Prefix, ReadsNetworksAndRefusesStrayBits) {
+    EXPECT_EQ(text(*prefixOf("10.1.0.0/16")), "10.1.0.0/16");
+    EXPECT_EQ(text(*prefixOf("2001:db8::/32")), "2001:db8::/32");
+    EXPECT_EQ(prefixOf("0.0.0.0/0")->length, 96);
+    for (const char* bad : {"10.1.0.1/16", "10.0.0.0/33", "10.0.0.0", "2001:db8::1/32", "x/8", ""})
+        EXPECT_FALSE(prefixOf(bad)) << bad;
+}
+
+// The trie against going through a list, on prefixes that share much and little.
+TEST(PrefixTrie, FindsWhatALinearScanFinds) {
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        std::mt19937 chance(seed);
+        const auto pick = [&](int lo, int hi) { return std::uniform_int_distribution<int>(lo, hi)(chance); };
+        PrefixTrie trie;
+        std::vector<std::pair<Prefix, std::uint32_t>> plain;
+        const auto any = [&] {
+            Prefix p;
+            p.length = 128;
+            for (auto& byte : p.bits) byte = static_cast<std::uint8_t>(pick(0, seed % 2 ? 1 : 255));
+            return p;
+        };
+        for (int i = 0; i < 80; ++i) {
+            const Prefix p = cut(any(), pick(0, 128));
+            const auto value = static_cast<std::uint32_t>(i);
+            trie.put(p, value);
+            std::erase_if(plain, [&](const auto& e) { return e.first == p; });
+            plain.emplace_back(p, value);
+        }
+        ASSERT_EQ(trie.size(), plain.size());
+        for (int i = 0; i < 200; ++i) {
+            Prefix host = any();
+            if (i % 2) {  // near one that stands there
+                const Prefix& near =
+                    plain[static_cast<std::size_t>(pick(0, static_cast<int>(plain.size()) - 1))].first;
+                for (int bit = 0; bit < near.length / 8; ++bit)
+                    host.bits[static_cast<std::size_t>(bit)] = near.bits[static_cast<std::size_t>(bit)];
+            }
+            std::optional<std::uint32_t> expected;
+            int longest = -1;
+            for (const auto& [p, value] : plain)
+                if (p.length > longest && cut(host, p.length) == p) {
+                    longest = p.length;
+                    expected = value;
+                }
+            ASSERT_EQ(trie.find(host), expected) << "seed " << seed;
+        }
+    }
+}
+
+net::IpAddress ip(const std::string& t) {
+    return boost::asio::ip::make_address(t);
+}
+
+TEST(Gate, ItsBoundHoldsAndAFloodLeavesRoomForOthers) {
+    Gate gate(100, 1'000, 24, 56);
+    gate.name(*prefixOf("10.0.0.0/8"), "flood");
+    const auto flood = gate.networkOf(ip("10.1.2.3"));
+    int in = 0;
+    while (gate.ask(flood) == Gate::Let::In) ++in;
+    EXPECT_GE(in, 50) << "one alone may have half of it at least";
+    EXPECT_LE(in, 90);
+    for (int other = 0; other < 10; ++other)
+        EXPECT_EQ(gate.ask(gate.networkOf(ip("192.0." + std::to_string(other) + ".1"))), Gate::Let::In)
+            << other;
+    EXPECT_EQ(gate.networkOf(ip("10.200.0.1")), flood) << "one member's addresses share one share";
+    EXPECT_EQ(gate.networkOf(ip("::ffff:10.9.9.9")), flood) << "however they are written";
+}
+
+TEST(Gate, AgreesWithItsStatedPromisesOnAnyOrderOfEvents) {
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        std::mt19937 chance(seed);
+        const auto pick = [&](int lo, int hi) { return std::uniform_int_distribution<int>(lo, hi)(chance); };
+        const int bound = pick(1, 120);
+        Gate gate(static_cast<std::size_t>(bound), 5, 24, 56);
+        std::map<std::uint32_t, int> held, open;
+        int all = 0;
+        for (int step = 0; step < 2'000; ++step) {
+            const std::string from = "192.0." + std::to_string(pick(0, 9)) + ".7";
+            const auto network = gate.networkOf(ip(from));
+            switch (pick(0, 3)) {
+                case 0:
+                case 1: {
+                    const auto let = gate.ask(network);
+                    if (all < bound / 2) {
+                        ASSERT_EQ(let, Gate::Let::In);
+                    }
+                    if (all >= bound) {
+                        ASSERT_EQ(let, Gate::Let::Full);
+                    }
+                    if (let == Gate::Let::In) {
+                        ++held[network];
+                        ++all;
+                    }
+                    break;
+                }
+                case 2:
+                    if (held[network] > 0) {
+                        gate.answered(network);
+                        --held[network];
+                        --all;
+                    }
+                    break;
+                default:
+                    if (open[network] < 5) {
+                        ASSERT_TRUE(gate.connect(network));
+                        ++open[network];
+                    } else {
+                        ASSERT_FALSE(gate.connect(network));
+                        gate.disconnect(network);
+                        --open[network];
+                    }
+            }
+            ASSERT_EQ(gate.held(), static_cast<std::size_t>(all));
+            ASSERT_LE(all, bound);
+        }
+    }
+}
+
+TEST(Gate, ForgetsWhatNobodyUses) {
+    Gate gate(10, 10, 24, 56);
+    for (int i = 0; i < 20'000; ++i) {
+        const auto n =
+            gate.networkOf(ip("10." + std::to_string(i / 250 % 250) + "." + std::to_string(i % 250) + ".1"));
+        ASSERT_TRUE(gate.connect(n));
+        gate.disconnect(n);
+    }
+    EXPECT_LE(gate.networks(), 2u);
+}
+
+// Connections to a box against a plain model: never over the bound, a sure request never on an old one.
+TEST(Reuse, KeepsItsPromisesOnAnyOrderOfEvents) {
+    using namespace boxes;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        std::mt19937 chance(seed);
+        const auto pick = [&](Micros lo, Micros hi) {
+            return std::uniform_int_distribution<Micros>(lo, hi)(chance);
+        };
+        const auto most = static_cast<std::size_t>(pick(1, 8));
+        const Micros keep = pick(1'000, 50'000), sure = pick(0, 5'000);
+        Reuse reuse(most, keep, sure);
+        std::map<ConnId, Micros> idle;
+        std::vector<ConnId> busy;
+        std::uint64_t next = 1;
+        Micros now = 0;
+        for (int step = 0; step < 2'000; ++step) {
+            now += pick(0, 2'000);
+            if (pick(0, 1)) {
+                const bool needSure = pick(0, 1);
+                const auto c = reuse.choose(now, needSure ? Reuse::Need::Sure : Reuse::Need::Any);
+                using What = Reuse::Choice::What;
+                if (c.what == What::Use) {
+                    ASSERT_TRUE(idle.count(c.conn));
+                    ASSERT_LT(now - idle[c.conn], keep);
+                    if (needSure) {
+                        ASSERT_LE(now - idle[c.conn], sure);
+                    }
+                    for (const auto& [id, since] : idle)
+                        ASSERT_LE(since, idle[c.conn]) << "not the last used";
+                    reuse.taken(c.conn);
+                    idle.erase(c.conn);
+                    busy.push_back(c.conn);
+                } else if (c.what == What::Wait) {
+                    ASSERT_EQ(busy.size(), most);
+                } else {
+                    if (c.what == What::CloseAndOpen) {
+                        ASSERT_EQ(busy.size() + idle.size(), most);
+                        reuse.closed(c.conn, false);
+                        ASSERT_EQ(idle.erase(c.conn), 1u);
+                    }
+                    busy.push_back(ConnId{next});
+                    reuse.opened(ConnId{next++});
+                }
+            } else if (!busy.empty()) {
+                const auto at = static_cast<std::size_t>(pick(0, static_cast<Micros>(busy.size()) - 1));
+                if (pick(0, 2)) {
+                    reuse.idle(now, busy[at]);
+                    idle[busy[at]] = now;
+                } else {
+                    reuse.closed(busy[at], true);
+                }
+                busy.erase(busy.begin() + static_cast<std::ptrdiff_t>(at));
+            }
+            if (const auto old = reuse.stale(now)) {
+                ASSERT_GE(now - idle.at(*old), keep);
+                reuse.closed(*old, false);
+                idle.erase(*old);
+            }
+            ASSERT_EQ(reuse.busy(), busy.size());
+            ASSERT_EQ(reuse.open(), busy.size() + idle.size());
+            ASSERT_LE(reuse.open(), most);
+        }
+    }
+}
+
+// The module takes these three for proof that nothing ran, and no others. The table must never say otherwise.
+TEST(Outcome, ProofInTheTableIsProofToTheModule) {
+    for (int i = 0; i < static_cast<int>(boxes::WireEnd::Count_); ++i) {
+        const boxes::Meaning& m = boxes::meaningOf(static_cast<boxes::WireEnd>(i));
+        const bool module =
+            m.end == JoinEnd::Full || m.end == JoinEnd::NoConnection || m.end == JoinEnd::NeverSent;
+        EXPECT_EQ(m.neverRan, module) << m.name;
+        EXPECT_FALSE(m.why.empty());
+    }
+    EXPECT_FALSE(boxes::meaningOf(boxes::WireEnd::BrokenOutKept).neverRan);
+    EXPECT_FALSE(boxes::meaningOf(boxes::WireEnd::TurnedAway).neverRan);
+}
+
+}  // namespace
+}  // namespace valekeel
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,347 @@
+#include "core/core.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace valekeel {
+namespace {
+
+// A clock that is moved by hand: the core needs no sockets.
+class HandNet final : public net::Net {
+  public:
+    Micros time = 1'000'000;
+    net::Wheel wheel_{time};
+    std::mt19937_64 chance{1};
+    Micros now() const override { return time; }
+    Micros wallNow() const override { return time; }
+    net::Wheel& wheel() override { return wheel_; }
+    std::unique_ptr<net::Stream> connect(const net::Endpoint&, net::StreamUser&) override { return nullptr; }
+    std::unique_ptr<net::Listener> listen(const net::Endpoint&, net::ListenerUser&) override {
+        return nullptr;
+    }
+    std::uint64_t draw() override { return chance(); }
+    void pass(Micros wait) {
+        const Micros end = time + wait;
+        while (time < end) {
+            time = std::min(end, std::max(time + 1, wheel_.next().value_or(end)));
+            while (net::WheelNode* node = wheel_.due(time)) net::Timer::fire(*node);
+        }
+    }
+};
+
+// Decides by a script, and may be as bad as a test needs.
+struct Scripted : core::Decides {
+    Host& host;
+    std::function<void(Scripted&, SubId)> onAsk = [](Scripted&, SubId) {};
+    std::vector<std::string> heard;
+    explicit Scripted(Host& h) : host(h) {}
+    void note(std::string s) { heard.push_back(std::move(s)); }
+    void listed(Micros, std::span<const ListedSfu>, bool) override { note("listed"); }
+    void listChanged(Micros, std::span<const ListedSfu>) override { note("changed"); }
+    void listFailed(Micros) override { note("failed"); }
+    void subscribe(Micros, SubId id, const Wish&) override {
+        note("subscribe");
+        onAsk(*this, id);
+    }
+    void playing(Micros, SubId, int, SfuId, Micros) override { note("playing"); }
+    void joinEnded(Micros, SubId, int, SfuId, JoinEnd end, bool over, Micros, const Load&) override {
+        note("ended " + std::to_string(static_cast<int>(end)) + (over ? " over" : ""));
+    }
+    void viewerLeft(Micros, SubId) override { note("left"); }
+    void shareDelivered(Micros, SubId, SfuId, double) override { note("share"); }
+    void rungInForce(Micros, SubId, int rung) override { note("rung " + std::to_string(rung)); }
+    void linkUse(Micros, SubId, SfuId, double) override { note("link"); }
+    void uplinkUse(Micros, SubId, SfuId, double) override { note("uplink"); }
+    void woken(Micros, const std::string& why) override { note("woken " + why); }
+};
+
+struct Rig : core::Face, core::Sender, core::Watcher {
+    HandNet net;
+    Scripted* decides = nullptr;
+    std::unique_ptr<core::Core> core;
+    std::vector<std::string> said, sent;
+    int guards = 0;
+    bool hangUpAtOnce = false;
+    explicit Rig(core::CoreLimits limits = {}) {
+        RoomType paid{"paid", 500'000, 3, true, false, true, 0, 1, 0, 0, 0},
+            open{"open", 500'000, 1, false, false, true, 0, 1, 0, 0, 0};
+        core = std::make_unique<core::Core>(net, std::vector<RoomType>{paid, open}, limits, kSecond, *this,
+                                            *this, [&](Host& host, Micros) {
+                                                auto d = std::make_unique<Scripted>(host);
+                                                decides = d.get();
+                                                return d;
+                                            });
+    }
+    SubId ask(std::uint32_t room = 1) {
+        Wish w;
+        w.room = RoomTypeId{room};
+        return *core->ask(*this, w, 3 * kSecond);
+    }
+    void plays(SubId id, SfuId, int rung) override {
+        said.push_back("plays " + std::to_string(rung));
+        if (hangUpAtOnce) core->left(id);
+    }
+    void throttled(SubId id, Micros) override {
+        said.push_back("throttled");
+        if (hangUpAtOnce) core->left(id);
+    }
+    void terminated(SubId, core::Ended) override { said.push_back("terminated"); }
+    void rungSet(SubId, int rung) override { said.push_back("rung " + std::to_string(rung)); }
+    void broke(SubId) override { said.push_back("broke"); }
+    void join(SubId, int no, SfuId at, int, Micros, bool) override {
+        sent.push_back("join " + std::to_string(no) + " at " + std::to_string(at.v));
+    }
+    void cancel(SubId id, int no) override {
+        sent.push_back("cancel");
+        core->joined(id, no, {JoinEnd::Cancelled, false, 0, {}, "cancelled"});
+    }
+    void release(SubId, SfuId) override { sent.push_back("release"); }
+    void followList() override { sent.push_back("follow"); }
+    void guarded(SubId) override { ++guards; }
+    int count(const std::vector<std::string>& in, const std::string& what) const {
+        return static_cast<int>(std::count(in.begin(), in.end(), what));
+    }
+};
+
+TEST(Core, OnePlaysAndIsToldEachThingOnce) {
+    Rig rig;
+    rig.decides->onAsk = [](Scripted& d, SubId id) {
+        d.host.setRung(id, 2);
+        d.host.join(id, SfuId{7}, kSecond);
+    };
+    const SubId id = rig.ask();
+    EXPECT_EQ(rig.sent, (std::vector<std::string>{"join 0 at 7"}));
+    rig.core->joined(id, 0, {JoinEnd::Played, false, 50'000, {0.5, {}}, "played"});
+    rig.core->joined(id, 0, {JoinEnd::Played, false, 50'000, {}, "played"});  // told twice: heard once
+    EXPECT_EQ(rig.said, (std::vector<std::string>{"plays 2"}));
+    EXPECT_EQ(rig.count(rig.decides->heard, "playing"), 1);
+    EXPECT_EQ(rig.count(rig.decides->heard, "link"), 1);
+    rig.decides->host.setRung(id, 1);
+    EXPECT_EQ(rig.said.back(), "rung 1");
+    rig.core->rungFetched(id, 2);  // an old one
+    rig.core->rungFetched(id, 1);
+    EXPECT_EQ(rig.decides->heard.back(), "rung 1");
+    rig.core->left(id);
+    rig.core->left(id);
+    EXPECT_EQ(rig.count(rig.decides->heard, "ended 0 over"), 1);
+    EXPECT_EQ(rig.count(rig.sent, "release"), 1);
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
+// Whatever a module does wrong, a viewer gets one answer, in time, and one join is out.
+TEST(Core, AModuleThatAnswersTwiceIsHeardOnce) {
+    Rig rig;
+    rig.decides->onAsk = [](Scripted& d, SubId id) {
+        d.host.throttle(id, 0);
+        d.host.throttle(id, 0);
+        d.host.terminate(id);
+        d.host.join(id, SfuId{1}, kSecond);
+    };
+    rig.ask();
+    EXPECT_EQ(rig.said, (std::vector<std::string>{"throttled"}));
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
+TEST(Core, AModuleThatNeverAnswersIsGuardedBeforeTheClientTimeout) {
+    Rig rig;
+    rig.ask();
+    rig.net.pass(3 * kSecond - 31'000);
+    EXPECT_TRUE(rig.said.empty());
+    rig.net.pass(31'000);
+    EXPECT_EQ(rig.said, (std::vector<std::string>{"terminated"}));
+    EXPECT_EQ(rig.guards, 1);
+    EXPECT_EQ(rig.core->unanswered(), 0u);
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
+TEST(Core, TwoJoinsAreNeverOutAtOnce) {
+    Rig rig;
+    rig.decides->onAsk = [](Scripted& d, SubId id) {
+        d.host.join(id, SfuId{1}, kSecond);
+        d.host.join(id, SfuId{2}, kSecond);
+    };
+    rig.ask();
+    EXPECT_EQ(rig.sent, (std::vector<std::string>{"join 0 at 1"}));
+}
+
+TEST(Core, AFreeJoinOfAViewerWhoLeftIsCalledOffAPaidOneRunsToItsEnd) {
+    Rig rig;
+    rig.decides->onAsk = [](Scripted& d, SubId id) { d.host.join(id, SfuId{1}, kSecond); };
+    rig.core->left(rig.ask(1));
+    EXPECT_EQ(rig.count(rig.sent, "cancel"), 1);
+    EXPECT_EQ(rig.core->held(), 0u);
+    const SubId paid = rig.ask(0);
+    rig.core->left(paid);
+    EXPECT_EQ(rig.count(rig.sent, "cancel"), 1);
+    EXPECT_EQ(rig.core->held(), 1u);
+    const int releases = rig.count(rig.sent, "release");
+    rig.core->joined(paid, 0, {JoinEnd::Played, false, 1, {}, "played"});
+    EXPECT_EQ(rig.count(rig.sent, "release"), releases + 1) << "its place is given back";
+    EXPECT_EQ(rig.said.size(), 0u) << "nobody is told";
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
+TEST(Core, AFaceThatHangsUpWithinItsAnswerIsNoTrouble) {
+    Rig rig;
+    rig.hangUpAtOnce = true;
+    rig.decides->onAsk = [](Scripted& d, SubId id) { d.host.join(id, SfuId{1}, kSecond); };
+    const SubId id = rig.ask();
+    rig.core->joined(id, 0, {JoinEnd::Played, false, 1, {}, "played"});
+    EXPECT_EQ(rig.core->held(), 0u);
+    EXPECT_EQ(rig.count(rig.decides->heard, "ended 0 over"), 1);
+    rig.decides->onAsk = [](Scripted& d, SubId i) { d.host.throttle(i, 0); };
+    rig.ask();
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
+TEST(Core, AnAnswerThatComesBackWithinAskIsHeardAfterIt) {
+    Rig rig;
+    bool known = false;
+    rig.decides->onAsk = [](Scripted& d, SubId id) { d.host.throttle(id, 0); };
+    Wish w;
+    w.room = RoomTypeId{1};
+    const auto id = rig.core->ask(rig, w, kSecond);
+    known = id.has_value();
+    EXPECT_TRUE(known);
+    EXPECT_EQ(rig.said.size(), 1u);
+}
+
+TEST(Core, ABreakEndsWhatPlaysAndIsToldOnce) {
+    Rig rig;
+    rig.decides->onAsk = [](Scripted& d, SubId id) { d.host.join(id, SfuId{1}, kSecond); };
+    const SubId id = rig.ask();
+    rig.core->joined(id, 0, {JoinEnd::Played, false, 1, {}, "played"});
+    rig.core->lost(id, JoinEnd::Reset);
+    rig.core->lost(id, JoinEnd::Reset);
+    EXPECT_EQ(rig.count(rig.said, "broke"), 1);
+    EXPECT_EQ(rig.count(rig.decides->heard, "ended 5 over"), 1);
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
+TEST(Core, HoldsNoMoreThanItsBound) {
+    core::CoreLimits limits;
+    limits.subs = 2;
+    Rig rig(limits);
+    rig.ask();
+    rig.ask();
+    Wish w;
+    w.room = RoomTypeId{1};
+    EXPECT_FALSE(rig.core->ask(rig, w, kSecond));
+    EXPECT_EQ(rig.core->counts().refusedFull, 1u);
+}
+
+TEST(Core, FiguresOfABoxArePassedOnAtTheStatedPace) {
+    Rig rig;
+    for (int i = 0; i < 10; ++i) {
+        rig.core->figures(SubId{1}, SfuId{3}, 0.5, 0.4);
+        rig.net.pass(200'000);
+    }
+    EXPECT_EQ(rig.count(rig.decides->heard, "link"), 2);
+    EXPECT_EQ(rig.count(rig.decides->heard, "uplink"), 2);
+}
+
+// Any order of events, and a module that throws answers about: one answer each, in time, nothing left over.
+TEST(Core, KeepsItsPromiseOnAnyOrderOfEvents) {
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        Rig rig;
+        std::mt19937 chance(seed);
+        const auto pick = [&](int lo, int hi) { return std::uniform_int_distribution<int>(lo, hi)(chance); };
+        struct Sub {
+            int joins = 0, answers = 0;
+            bool out = false, left = false, plays = false, over = false;
+        };
+        std::map<SubId, Sub> subs;
+        rig.decides->onAsk = [&](Scripted& d, SubId id) {
+            const int what = pick(0, 5);
+            if (what <= 3) d.host.join(id, SfuId{static_cast<std::uint32_t>(pick(1, 4))}, kSecond);
+            if (what == 4) d.host.throttle(id, 0);
+            if (what == 5) d.host.terminate(id);
+        };
+        std::size_t asked = 0;
+        for (int step = 0; step < 400; ++step) {
+            if (pick(0, 2) == 0) {
+                rig.ask(static_cast<std::uint32_t>(pick(0, 1)));
+                ++asked;
+            }
+            const SubId id{static_cast<std::uint32_t>(pick(1, static_cast<int>(asked) + 1))};
+            switch (pick(0, 5)) {
+                case 0:
+                    rig.core->joined(id, 0, {JoinEnd::Played, false, 1, {}, "played"});
+                    break;
+                case 1:
+                    rig.core->joined(id, 0, {JoinEnd::Full, true, 1, {}, "unseen"});
+                    break;
+                case 2:
+                    rig.core->left(id);
+                    break;
+                case 3:
+                    rig.core->lost(id, JoinEnd::Reset);
+                    break;
+                case 4:
+                    rig.decides->host.throttle(id, 0);
+                    break;
+                default:
+                    rig.net.pass(pick(0, 300'000));
+            }
+        }
+        rig.net.pass(10 * kSecond);
+        const core::Counts& c = rig.core->counts();
+        EXPECT_EQ(c.asked, asked);
+        const auto answers = c.played + c.throttled + c.terminated;
+        EXPECT_LE(answers, asked);
+        EXPECT_EQ(static_cast<std::uint64_t>(rig.said.size()) -
+                      static_cast<std::uint64_t>(rig.count(rig.said, "broke")),
+                  answers)
+            << "seed " << seed;
+        EXPECT_EQ(rig.core->unanswered(), 0u);
+    }
+}
+
+TEST(Delivery, MeasuresWhatCameOfWhatPlays) {
+    core::Delivery d(kSecond);
+    const core::FetchId a{1}, b{2};
+    d.began(0, a, SubId{1}, SfuId{3}, kSecond, 1'000);
+    d.ended(900'000, a);
+    EXPECT_TRUE(d.told(kSecond).empty()) << "in time: nothing is told";
+    d.began(kSecond, b, SubId{1}, SfuId{3}, kSecond, 1'000);
+    d.ended(3 * kSecond, b);
+    auto told = d.told(3 * kSecond);
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_DOUBLE_EQ(told[0].share, 0.5);
+    d.began(3 * kSecond, a, SubId{1}, SfuId{3}, kSecond, 1'000);
+    d.ended(4 * kSecond, a);
+    told = d.told(4 * kSecond);
+    ASSERT_EQ(told.size(), 1u) << "once more when it is well again";
+    EXPECT_DOUBLE_EQ(told[0].share, 1);
+    EXPECT_TRUE(d.told(5 * kSecond).empty());
+}
+
+TEST(Delivery, ASegmentThatHangsIsShortLongBeforeItEnds) {
+    core::Delivery d(kSecond);
+    d.began(0, core::FetchId{1}, SubId{1}, SfuId{3}, kSecond, 1'000);
+    d.got(core::FetchId{1}, 100);
+    auto told = d.told(2 * kSecond);
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_NEAR(told[0].share, 0.05, 1e-9);
+}
+
+TEST(Delivery, TimeThatTheViewerTookNothingIsNotTheBoxs) {
+    core::Delivery d(kSecond);
+    const core::FetchId a{1};
+    d.began(0, a, SubId{1}, SfuId{3}, kSecond, 1'000);
+    d.heldBack(200'000, a);
+    d.heldBack(300'000, a);
+    EXPECT_TRUE(d.told(5 * kSecond).empty());
+    d.goesOn(8 * kSecond, a);
+    d.ended(8'500'000, a);
+    EXPECT_TRUE(d.told(9 * kSecond).empty());
+    d.began(0, a, SubId{1}, SfuId{3}, kSecond, 1'000);
+    d.forget(a);
+    EXPECT_EQ(d.open(), 0u);
+}
+
+}  // namespace
+}  // namespace valekeel
--- /dev/null
+++ b/tests/front_test.cpp
@@ -0,0 +1,419 @@
+// A whole front on real sockets, beside stand-ins in the same loop, with faults injected; and the day that CI
+// plays, with fronts as processes.
+#include "front/front.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+
+#include "audit/audit.hpp"
+#include "loop.hpp"
+#include "rehearse/drill.hpp"
+#include "standins/list.hpp"
+#include "standins/player.hpp"
+
+namespace valekeel {
+namespace {
+
+namespace fs = std::filesystem;
+
+const char* const kSite = R"(
+ladder stall-loss=7 { rung kb=10 worth=0.3; rung kb=30 worth=0.7; rung kb=60 worth=1; }
+room-type "open" client-timeout="1500ms" join-objective="700ms" benefit=1
+room-type "paid" client-timeout="1500ms" join-objective="700ms" benefit=3 set-up="paid" seats=3
+fleet cells=3 racks=1 links-kb=3000 link-kb-per-size=1000 { kind "k" places=50; }
+cold warm-up="2s" first-share=0.5 fall-multiple=2.5 tip-after="1s"
+join-budget free=5 share=0.1 window="10s"
+tidings late="100ms" every="500ms"
+allowed joins=3 come-back-at-most="1s"
+viewers silent-after="3s" closed-after="150ms" segment-within="1500ms" ahead="2s" behind="2s"
+http listen="127.0.0.1:0" head-within="500ms"
+talk "t" first-cell=0 holders=3
+talk "odd ü \"name\"" first-cell=0 holders=3
+)";
+
+struct Rig : Loop {
+    standins::Ledger ledger;
+    standins::BoxMake make;
+    std::unique_ptr<standins::BoxFleet> fleet;
+    standins::ListServer list{net, any(), ledger};
+    std::unique_ptr<front::Front> front;
+    std::vector<std::unique_ptr<standins::Player>> players;
+    fs::path folder =
+        fs::path(testing::TempDir()) /
+        ("valekeel-front-" + std::string(testing::UnitTest::GetInstance()->current_test_info()->name()));
+    int active = 0;
+    std::uint64_t epoch = 1;
+
+    explicit Rig(int boxes = 3, const std::function<void(standins::BoxMake&)>& shape = {}) {
+        fs::remove_all(folder);
+        fs::create_directories(folder);
+        make.rungKb = {10, 30, 60};
+        make.rateFactors = {{"open", 1}, {"paid", 1}};
+        make.segment = 200'000;
+        make.segments = 400;
+        make.setUp = 20'000;
+        make.warmUp = 2 * kSecond;
+        make.firstShare = 0.5;
+        make.fallMultiple = 2.5;
+        if (shape) shape(make);
+        fleet = std::make_unique<standins::BoxFleet>(net, make, 1, 0, 3, ledger);
+        for (int id = 0; id < boxes; ++id) {
+            fleet->add(id, id, 1'000, 50, any());
+            tell(id, "on");
+        }
+        startFront();
+    }
+    void tell(int id, const std::string& standing) {
+        standins::ListedBox b;
+        b.id = id;
+        b.cell = fleet->box(id).cell();
+        b.at = net::text(fleet->box(id).at());
+        b.kind = "k";
+        b.standing = standing;
+        list.put({b});
+    }
+    void startFront(const std::string& more = "") {
+        const std::string text = "front \"a\"\nlist stream=\"" + net::text(list.at()) +
+                                 "\" path=\"/boxes?front=a\" keep=\"" + (folder / "kept.kdl").string() +
+                                 "\" silent-for=\"2s\"\nlog file=\"" + (folder / "front.log").string() +
+                                 "\"\n" + kSite + more;
+        front =
+            std::make_unique<front::Front>(net, settings::Document::fromText("site.kdl", text), 5, epoch++);
+        run(100'000);
+    }
+    standins::Player& play(const std::string& room, Micros watch, int returns = 0,
+                           standins::HintStyle hints = standins::HintStyle::Headers,
+                           const std::string& title = "t") {
+        standins::PlayerPlan plan;
+        plan.title = title;
+        plan.room = {room, 1'500'000, 700'000, room == "paid", 1};
+        plan.watch = watch;
+        plan.hints = hints;
+        plan.returns = returns;
+        ++active;
+        const int number = static_cast<int>(players.size());
+        players.push_back(std::make_unique<standins::Player>(
+            net, number, plan,
+            [this] {
+                return standins::Player::FrontAt{"a", front->http()};
+            },
+            1000 + static_cast<std::uint64_t>(number), std::vector<double>{}, ledger,
+            [this](standins::Player&) { --active; }));
+        players.back()->start();
+        return *players.back();
+    }
+    int count(const std::string& what, int status = -1) const {
+        return static_cast<int>(std::count_if(
+            ledger.lines().begin(), ledger.lines().end(),
+            [&](const auto& l) { return l.what == what && (status < 0 || l.status == status); }));
+    }
+    void expectRules() {
+        audit::Terms t;
+        t.rooms["open"] = {1'500'000, false, 0, 0};
+        t.rooms["paid"] = {1'500'000, true, 0, 3};
+        t.warmUp = make.warmUp;
+        t.firstShare = make.firstShare;
+        t.fallMultiple = make.fallMultiple;
+        t.tipAfter = make.tipAfter;
+        t.budgeted = true;
+        t.budgetFree = 5;
+        t.budgetShare = 0.1;
+        t.budgetWindow = 10 * kSecond;
+        for (const audit::Breach& b : audit::all(ledger, t, {}))
+            ADD_FAILURE() << "rule " << b.rule << ": " << b.what;
+    }
+};
+
+TEST(Front, OnePlayerStartsWatchesAndLeaves) {
+    Rig rig;
+    rig.play("paid", kSecond);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 1);
+    EXPECT_GE(rig.count("segment"), 6);
+    EXPECT_EQ(rig.count("gap"), 0);
+    EXPECT_EQ(rig.count("charged"), 1);
+    ASSERT_TRUE(rig.until([&] { return rig.count("release") == 1; }))
+        << "its place is given back once it is silent";
+    EXPECT_EQ(rig.front->face().viewers(), 0u);
+    rig.expectRules();
+}
+
+TEST(Front, OneTraceIdFromThePlayerToTheBoxAndTheLog) {
+    Rig rig;
+    rig.play("open", 300'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    rig.front->flush();
+    std::string trace, atBox;
+    for (const auto& l : rig.ledger.lines()) {
+        if (l.what == "ask") trace = l.trace;
+        if (l.what == "arrive") atBox = l.trace;
+    }
+    EXPECT_EQ(trace, atBox);
+    std::ifstream in(rig.folder / "front.log");
+    std::string log((std::istreambuf_iterator<char>(in)), {});
+    for (const char* step : {"\"what\":\"asked\"", "\"what\":\"join-sent\"", "\"what\":\"join-ended\"",
+                             "\"what\":\"answered\""}) {
+        const auto at = log.find(step);
+        ASSERT_NE(at, std::string::npos) << step;
+        EXPECT_NE(log.substr(at, log.find('\n', at) - at).find(trace), std::string::npos) << step;
+    }
+}
+
+TEST(Front, BadHintsNeverCostAViewerTheSubscription) {
+    using standins::HintStyle;
+    Rig rig;
+    for (const auto style : {HintStyle::Query, HintStyle::None, HintStyle::Broken, HintStyle::Doubled,
+                             HintStyle::Oversized, HintStyle::Contradicting, HintStyle::Json})
+        rig.play("open", 500'000, 0, style);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 7);
+    EXPECT_EQ(rig.count("segment-lost"), 0);
+    const auto& dropped = rig.front->face().hintsDropped();
+    for (const auto why : {hints::Dropped::Malformed, hints::Dropped::Twice, hints::Dropped::TooLong,
+                           hints::Dropped::Contradicts, hints::Dropped::OutOfRange})
+        EXPECT_GT(dropped[static_cast<std::size_t>(why)], 0u) << hints::nameOf(why);
+    rig.expectRules();
+}
+
+TEST(Front, OddTitlesPassUnharmed) {
+    Rig rig;
+    rig.play("open", 300'000, 0, standins::HintStyle::Headers, "odd ü \"name\"");
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 1);
+}
+
+TEST(Front, AByteRangePlaylistIsRelayedRangeByRange) {
+    Rig rig(3, [](standins::BoxMake& m) { m.byteRanges = true; });
+    rig.play("open", kSecond);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_GE(rig.count("segment"), 6);
+    EXPECT_EQ(rig.count("segment-lost"), 0);
+}
+
+TEST(Front, AFullBoxIsProofAndAnotherIsTried) {
+    Rig rig;
+    rig.fleet->box(0).trouble.draining = true;  // turns away unseen; the list says nothing of it
+    rig.fleet->box(1).trouble.draining = true;
+    for (int i = 0; i < 3; ++i) rig.play("paid", 400'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 3);
+    EXPECT_EQ(rig.count("charged"), 3);
+    rig.expectRules();
+}
+
+TEST(Front, ALostAnswerOfAPaidSetUpIsTerminatedNeverSentAgain) {
+    Rig rig;
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.losePart = 1;
+    rig.play("paid", 400'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 502) + rig.count("answer", 504), 1);
+    EXPECT_EQ(rig.count("charged"), 1);
+    rig.play("open", 400'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_GE(rig.count("charged"), 3) << "a free one is tried elsewhere";
+    rig.expectRules();
+}
+
+TEST(Front, ASilentBoxCostsItsViewersTimeAndNotAnAnswer) {
+    Rig rig;
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.silent = true;
+    rig.play("paid", 400'000);
+    rig.play("open", 400'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer"), 2);
+    EXPECT_EQ(rig.count("no-answer"), 0);
+    rig.expectRules();
+}
+
+TEST(Front, ABoxThatPausesAndThenAnswersAllAtOnceIsHarmless) {
+    Rig rig;
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.pausedUntil = rig.net.now() + 10 * kSecond;
+    for (int i = 0; i < 6; ++i) rig.play(i % 2 ? "paid" : "open", 400'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).resume();
+    rig.run(300'000);
+    EXPECT_EQ(rig.count("answer"), 6);
+    rig.expectRules();
+}
+
+TEST(Front, ADyingBoxsViewersComeBackElsewhere) {
+    Rig rig;
+    for (int i = 0; i < 9; ++i) rig.play("open", 3 * kSecond, 3);
+    ASSERT_TRUE(rig.until([&] { return rig.count("answer", 200) == 9; }));
+    rig.fleet->box(0).die("died");
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }, 10 * kSecond));
+    EXPECT_GT(rig.count("segment-lost"), 0);
+    EXPECT_GT(rig.count("answer", 200), 9);
+    rig.expectRules();
+}
+
+TEST(Front, ADrainedBoxGetsNothingNew) {
+    Rig rig;
+    rig.tell(0, "fading");
+    rig.tell(1, "fading");
+    rig.run(100'000);
+    for (int i = 0; i < 6; ++i) rig.play("open", 300'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    for (const auto& l : rig.ledger.lines())
+        if (l.what == "arrive") {
+            EXPECT_EQ(l.box, 2);
+        }
+    rig.expectRules();
+}
+
+TEST(Front, SeatsAreNeverOverrunAndComeFree) {
+    Rig rig;
+    for (int i = 0; i < 8; ++i) rig.play("paid", 700'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 3);
+    EXPECT_EQ(rig.count("answer", 503), 5);
+    ASSERT_TRUE(rig.until([&] { return rig.front->face().viewers() == 0; }));
+    rig.play("paid", 300'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 4);
+    rig.expectRules();
+}
+
+TEST(Front, OneThatLiesIdleWhileItFailsIsFoundOut) {
+    Rig rig;
+    rig.fleet->box(1).trouble.liesIdle = true;
+    rig.fleet->box(1).trouble.failPart = 1;
+    for (int i = 0; i < 60; ++i) {
+        rig.play("open", 300'000, 1);
+        rig.run(25'000);
+    }
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }, 20 * kSecond));
+    std::map<int, int> joins;
+    for (const auto& l : rig.ledger.lines())
+        if (l.what == "arrive") ++joins[l.box];
+    EXPECT_LT(joins[1] * 4, joins[0] + joins[2]) << "its outcomes must win over what it says";
+    rig.expectRules();
+}
+
+TEST(Front, TheRungComesDownWhenALinkIsShortAndNothingThatWasListedBreaks) {
+    Rig rig(1);
+    for (int i = 0; i < 12; ++i) rig.play("open", 6 * kSecond);
+    rig.run(kSecond);
+    rig.fleet->box(0).trouble.linkFactor = 0.2;
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }, 15 * kSecond));
+    std::map<std::string, std::set<int>> rungs;
+    for (const auto& l : rig.ledger.lines())
+        if (l.what == "segment" && l.box >= 0) rungs[l.sub].insert(l.rung);
+    const auto changed =
+        std::count_if(rungs.begin(), rungs.end(), [](const auto& r) { return r.second.size() > 1; });
+    EXPECT_GT(changed, 3);
+    EXPECT_EQ(rig.count("gap"), 0);
+    EXPECT_EQ(rig.count("segment-lost"), 0);
+    rig.expectRules();
+}
+
+TEST(Front, WhatItTookIsAnsweredWhenItIsAskedToStop) {
+    Rig rig;
+    for (int i = 0; i < 5; ++i) rig.play("open", 5 * kSecond);
+    rig.run(5'000);
+    bool stopped = false;
+    rig.front->stop(200'000, [&] { stopped = true; });
+    ASSERT_TRUE(rig.until([&] { return stopped; }));
+    rig.run(50'000);
+    EXPECT_EQ(rig.count("answer"), 5);
+    EXPECT_EQ(rig.count("no-answer"), 0);
+    rig.expectRules();
+}
+
+TEST(Front, StartsOnItsKeptListWhereTheListIsOutOfReach) {
+    Rig rig;
+    rig.list.unreachable(true);
+    rig.front.reset();
+    rig.startFront();
+    rig.play("open", 300'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 1);
+}
+
+TEST(Front, ABrokenKeptListIsNoReasonNotToStart) {
+    Rig rig;
+    rig.front.reset();
+    std::ofstream(rig.folder / "kept.kdl") << "box one at=";
+    rig.startFront();
+    rig.play("open", 300'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 1);
+}
+
+TEST(Front, ASidOnASecondConnectionIsTheSameSubscription) {
+    Rig rig;
+    struct Ask : http::FetchUser {
+        http::ResponseHead head;
+        std::string body;
+        bool done = false;
+        void answered(const http::ResponseHead& h) override { head = h; }
+        void piece(std::string_view b) override { body += b; }
+        void fetched(bool) override { done = true; }
+        void failed(http::Failed) override { done = true; }
+    } one, two, three;
+    http::Fields fields;
+    fields.add("CMCD-Session", "sid=\"same\"");
+    const std::string bytes =
+        http::requestBytes("GET", "/talk/t/main.m3u8?room=paid", rig.front->http(), fields);
+    http::Connection a(rig.net, rig.front->http(), {}, kSecond), b(rig.net, rig.front->http(), {}, kSecond);
+    a.fetch(bytes, false, one);
+    b.fetch(bytes, false, two);
+    ASSERT_TRUE(rig.until([&] { return one.done && two.done; }));
+    EXPECT_EQ(one.head.status, 200);
+    EXPECT_EQ(one.body, two.body);
+    b.fetch(bytes, false, three);
+    ASSERT_TRUE(rig.until([&] { return three.done; }));
+    EXPECT_EQ(three.body, one.body);
+    EXPECT_EQ(rig.count("charged"), 1);
+    // Hints both ways: the box's entry kept, the front's own behind it.
+    const auto entries = hints::parseCmsdDynamic(one.head.fields.joined("CMSD-Dynamic").value_or(""));
+    ASSERT_EQ(entries.size(), 2u);
+    EXPECT_EQ(entries[0].by.substr(0, 4), "box-");
+    EXPECT_EQ(entries[1].by, "a");
+    EXPECT_TRUE(entries[1].mb && entries[1].rd);
+}
+
+TEST(Front, TheGateTurnsAFloodAwayAndSaysWhenToComeBack) {
+    Rig rig;
+    rig.front.reset();
+    rig.startFront("admission waiting=4\n");
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.answersLate = 300'000;
+    for (int i = 0; i < 30; ++i) rig.play("open", 100'000);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_GE(rig.count("answer", 503), 20);
+    EXPECT_GE(rig.count("answer", 200), 2);
+    EXPECT_EQ(rig.count("answer"), 30);
+}
+
+// ---- the day that CI plays ----
+
+rehearse::DrillResult playDay(const std::string& name, standins::Ledger& ledger) {
+    const auto document = settings::Document::fromFile(std::string(VALEKEEL_DAYS) + "/" + name);
+    const rehearse::Day day = rehearse::readDay(document);
+    const fs::path folder = fs::path(testing::TempDir()) / ("valekeel-day-" + name);
+    fs::remove_all(folder);
+    fs::create_directories(folder);
+    rehearse::DrillWays ways;
+    ways.program = VALEKEEL_PROGRAM;
+    ways.folder = folder.string();
+    return rehearse::drill(day, ways, ledger);
+}
+
+TEST(Day, TheShortBadDayKeepsAllRules) {
+    standins::Ledger ledger;
+    const auto result = playDay("short.kdl", ledger);
+    for (const audit::Breach& b : result.breaches) ADD_FAILURE() << "rule " << b.rule << ": " << b.what;
+    EXPECT_GT(result.played, 40u);
+    EXPECT_EQ(result.twice, 0u);
+    EXPECT_EQ(result.gaps, 0u);
+    EXPECT_GE(result.troublesAtOnce, 3u);
+    EXPECT_GE(result.paidSetUps, result.paidSubs);
+}
+
+}  // namespace
+}  // namespace valekeel
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,163 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+#include "loop.hpp"
+#include "net/process.hpp"
+
+namespace valekeel {
+namespace {
+
+TEST(Address, ReadsBothKindsAndNothingElse) {
+    EXPECT_EQ(net::text(*net::endpointOf("127.0.0.1:80")), "127.0.0.1:80");
+    EXPECT_EQ(net::text(*net::endpointOf("[::1]:8080")), "[::1]:8080");
+    for (const char* bad : {"", "127.0.0.1", "127.0.0.1:", ":80", "::1:80", "127.0.0.1:65536", "127.0.0.1:-1",
+                            "localhost:80", "1.2.3:4", "127.0.0.1:80x"})
+        EXPECT_FALSE(net::endpointOf(bad)) << bad;
+}
+
+// Beside the wheel runs a plain ordered map: what is due, and when, must agree.
+TEST(Wheel, AgreesWithAnOrderedMap) {
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        std::mt19937 chance(seed);
+        const auto pick = [&](Micros lo, Micros hi) {
+            return std::uniform_int_distribution<Micros>(lo, hi)(chance);
+        };
+        Micros now = pick(0, 1LL << 40);
+        std::vector<net::WheelNode> nodes(200);
+        net::Wheel wheel(now);
+        std::map<const net::WheelNode*, Micros> plain;
+        for (int step = 0; step < 3'000; ++step) {
+            net::WheelNode& node = nodes[static_cast<std::size_t>(pick(0, 199))];
+            const auto what = pick(0, 9);
+            if (what < 5) {
+                const Micros reach = Micros{1} << pick(5, 42);
+                const Micros at = now + pick(0, reach);
+                wheel.add(node, at);
+                plain[&node] = at;
+            } else if (what < 7) {
+                wheel.remove(node);
+                plain.erase(&node);
+            } else {
+                const auto next = wheel.next();
+                ASSERT_EQ(next.has_value() || plain.empty(), true);
+                Micros earliest = -1;
+                for (const auto& [n, at] : plain) earliest = earliest < 0 ? at : std::min(earliest, at);
+                if (next && earliest >= 0) {
+                    ASSERT_LE(*next, earliest + 1024) << "it would sleep past a timer";
+                }
+                now += pick(0, 3) == 0 ? pick(0, Micros{1} << pick(10, 41)) : pick(0, 5'000);
+                while (net::WheelNode* due = wheel.due(now)) {
+                    ASSERT_EQ(plain.count(due), 1u) << "fired, and was not waiting";
+                    ASSERT_LE(plain[due], now) << "fired early";
+                    plain.erase(due);
+                }
+                for (const auto& [n, at] : plain) ASSERT_GT(at + 1024, now) << "not fired, seed " << seed;
+            }
+            ASSERT_EQ(wheel.size(), plain.size());
+        }
+    }
+}
+
+TEST(Wheel, TimersOfOneTickComeInOrder) {
+    std::vector<net::WheelNode> nodes(5);
+    net::Wheel wheel(0);
+    for (auto& n : nodes) wheel.add(n, 700'000);
+    for (auto& n : nodes) EXPECT_EQ(wheel.due(800'000), &n);
+    EXPECT_EQ(wheel.due(800'000), nullptr);
+}
+
+TEST(Timer, OneThatCancelsAnotherIsObeyed) {
+    Loop loop;
+    int fired = 0;
+    net::Timer second(loop.net, [&] { ++fired; });
+    net::Timer first(loop.net, [&] { second.cancel(); });
+    first.after(2'000);
+    second.after(2'000);
+    loop.run(20'000);
+    EXPECT_EQ(fired, 0);
+}
+
+struct Peer : net::StreamUser {
+    std::unique_ptr<net::Stream> stream;
+    bool open = false, ended = false, broken = false;
+    std::optional<net::NoStream> failure;
+    std::string got;
+    void connected() override { open = true; }
+    void connectFailed(net::NoStream why) override { failure = why; }
+    void readable() override {
+        char buffer[4096];
+        for (;;) {
+            const net::Moved m = stream->read(buffer);
+            got.append(buffer, m.bytes);
+            if (m.then == net::Moved::Then::Again) return;
+            if (m.then == net::Moved::Then::Ended) ended = true;
+            if (m.then == net::Moved::Then::Broken) broken = true;
+            if (m.then != net::Moved::Then::More) return;
+        }
+    }
+    void writable() override {}
+};
+
+struct Accepts : net::ListenerUser {
+    std::vector<std::unique_ptr<Peer>> peers;
+    void accepted(std::unique_ptr<net::Stream> s) override {
+        peers.push_back(std::make_unique<Peer>());
+        peers.back()->stream = std::move(s);
+        peers.back()->stream->handTo(*peers.back());
+    }
+};
+
+TEST(Epoll, BytesHalfClosesAndResetsAreToldApart) {
+    Loop loop;
+    Accepts server;
+    auto listener = loop.net.listen(Loop::any(), server);
+    Peer client;
+    client.stream = loop.net.connect(listener->at(), client);
+    ASSERT_TRUE(loop.until([&] { return client.open && server.peers.size() == 1; }));
+    client.stream->write("hello");
+    client.stream->finishWriting();
+    ASSERT_TRUE(loop.until([&] { return server.peers[0]->ended; }));
+    EXPECT_EQ(server.peers[0]->got, "hello");
+    server.peers[0]->stream->write("still answered");
+    ASSERT_TRUE(loop.until([&] { return client.got == "still answered"; }));
+    server.peers[0]->stream->reset();
+    ASSERT_TRUE(loop.until([&] { return client.broken; }));
+}
+
+TEST(Epoll, NobodyThereIsARefusal) {
+    Loop loop;
+    net::Endpoint at;
+    {
+        Accepts none;
+        at = loop.net.listen(Loop::any(), none)->at();
+    }
+    Peer client;
+    client.stream = loop.net.connect(at, client);
+    ASSERT_TRUE(loop.until([&] { return client.failure.has_value(); }));
+    EXPECT_EQ(*client.failure, net::NoStream::Refused);
+}
+
+TEST(Epoll, ManyThatComeAtOnceAreAllAccepted) {
+    Loop loop;
+    Accepts server;
+    auto listener = loop.net.listen(Loop::any(), server);
+    std::vector<std::unique_ptr<Peer>> clients;
+    for (int i = 0; i < 300; ++i) {
+        clients.push_back(std::make_unique<Peer>());
+        clients.back()->stream = loop.net.connect(listener->at(), *clients.back());
+    }
+    EXPECT_TRUE(loop.until([&] { return server.peers.size() == 300; }));
+}
+
+TEST(Process, IsEndedByItsId) {
+    net::Process p({"/bin/sleep", "30"});
+    EXPECT_TRUE(p.running());
+    p.kill();
+    EXPECT_FALSE(p.running());
+    EXPECT_THROW(net::Process({"/nowhere/at/all"}), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace valekeel
