--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -275,6 +275,7 @@
         spent_ = std::move(*it);  // kept for a while: this very call lies in it
         wakes_.erase(it);
         const std::string why = spent_.why;
+        if (why == "slot") ++slot_;
         tell([&] { decides_->woken(net_.now(), why); });
     });
     it->timer->after(wait);
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -61,6 +61,8 @@
   public:
     virtual ~Watcher() = default;
     virtual void asked(SubId, const Wish&) {}
+    // What decided a join: the score that won, if anything fitted, among so many boxes, in which slot.
+    virtual void chose(SubId, SfuId, const double* /*score*/, int /*among*/, std::uint64_t /*slot*/) {}
     virtual void joinSent(SubId, int /*joinNo*/, SfuId, int /*rung*/, Micros /*timeOut*/) {}
     virtual void joinEnded(SubId, int /*joinNo*/, SfuId, const JoinOutcome&) {}
     virtual void answered(SubId, std::string_view /*how*/, Micros /*took*/) {}
@@ -71,7 +73,7 @@
 
 struct CoreLimits {
     std::size_t subs = 100'000;      // subscriptions held at once; more are not taken
-    Micros answerMargin = 60'000;    // the module is told of a client timeout this much before it is
+    Micros answerMargin = 120'000;   // the module is told of a client timeout this much before it is
     Micros reportEvery = 1'000'000;  // a media server's figures of its load are passed on no more often
 };
 
@@ -132,6 +134,9 @@
     void wakeAfter(Micros, const std::string& why) override;
     void followList() override;
     void log(const std::string&) override;
+    void chose(SubId id, SfuId at, const double* score, int among) override {
+        watcher_.chose(id, at, score, among, slot_);
+    }
 
     template <class Call>
     void tell(Call&&);
@@ -160,6 +165,7 @@
     Wake spent_;
     std::deque<std::function<void()>> after_;
     int telling_ = 0;
+    std::uint64_t slot_ = 0;  // slots of the module that have ended
     bool draining_ = false;
     net::Timer reportTimer_;
     std::unique_ptr<Decides> decides_;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -1,5 +1,6 @@
 #include "front/front.hpp"
 
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -240,6 +241,17 @@
         out["sub"] = id.v;
         return out;
     }
+    void chose(SubId id, SfuId at, const double* score, int among, std::uint64_t slot) override {
+        auto fields = of(id);
+        fields["box"] = at.v;
+        fields["slot"] = slot;
+        fields["among"] = among;
+        if (score)
+            fields["score"] = std::round(*score * 1e4) / 1e4;
+        else
+            fields["fits"] = false;
+        line(record::Level::Info, "chosen", std::move(fields));
+    }
     void joinSent(SubId id, int joinNo, SfuId at, int rung, Micros timeOut) override {
         auto fields = of(id);
         fields["join"] = joinNo;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -598,11 +598,12 @@
         double best = 1e18, roomiest = 1e18, askedThere = 0;
         const std::vector<double> uplinks = uplinksAsked(now);
         std::optional<SfuId> chosen, fallback;
-        int chosenRung = floorOf(sub);
+        int chosenRung = floorOf(sub), among = 0;
         const double middle = ladder_.kb[ladder_.kb.size() / 2];
         for (auto& [sfuId, s] : sfus_) {
             if (!mayJoin(now, sub, sfuId, s, now) || setAside(now, s) || now < s.fullUntil) continue;
             if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
+            ++among;
             const double link = linkAsked(now, s), uplink = uplinks[rackOf(s)];
             // Of most media servers a front knows nothing, and all fronts would take the first of those
             // alike.
@@ -635,8 +636,10 @@
             }
         }
         // None fits: the lowest rung on the roomiest, unless even that would overfill.
+        const bool fits = chosen.has_value();
         if (!chosen && fallback && askedThere <= kOverfull) chosen = fallback;
         if (chosen) {
+            host_.chose(id, *chosen, fits ? &best : nullptr, among);
             sendJoin(now, id, sub, *chosen, chosenRung);
             return;
         }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -24,6 +24,9 @@
     virtual void wakeAfter(Micros, const std::string& why) = 0;
     virtual void followList() = 0;  // where the list must be asked for; listFailed() says if that failed
     virtual void log(const std::string&) = 0;
+    // For the record, just before a join: what decided it. The lowest score wins; none: nothing fits, and the
+    // lowest rung goes to the roomiest of so many.
+    virtual void chose(SubId, SfuId, const double* /*score*/, int /*among*/) {}
 };
 
 // One front's decisions. Each method is one thing that can happen; `now` never goes back.
--- a/src/standins/box.cpp
+++ b/src/standins/box.cpp
@@ -415,6 +415,19 @@
     job->sub = key;
     job->kb = kb;
     const std::string head = fragmentHead(bytes);
+    if (unpaced) {
+        http::Exchange* out = std::exchange(job->exchange, nullptr);
+        out->heldBy(nullptr);
+        drop(jobKey);
+        out->begin(status, f, bytes);
+        out->send(head);
+        for (std::uint64_t left = bytes - head.size(); left > 0;) {
+            const auto part = std::min<std::uint64_t>(left, filler().size());
+            out->send(std::string_view(filler()).substr(0, part));
+            left -= part;
+        }
+        return out->finish();
+    }
     job->left = bytes - head.size();
     exchange.begin(status, f, bytes);
     exchange.send(head);
--- a/src/standins/box.hpp
+++ b/src/standins/box.hpp
@@ -55,6 +55,7 @@
     int places() const { return places_; }
     net::Endpoint at() const { return at_; }
     Trouble trouble;
+    bool unpaced = false;  // segments come as fast as the socket takes them
     bool up() const { return server_ != nullptr; }
     Micros startedAt() const { return startedAt_; }
     std::size_t playing() const { return subs_.size(); }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -31,6 +31,19 @@
     EXPECT_NE(rig.joins[1].at, first);
 }
 
+// What is told for the record is what is done: the same box, just before each join, among those that it may.
+TEST(Joins, WhatDecidedEachIsTold) {
+    Rig rig(Site{.sfus = 3});
+    for (unsigned id = 1; id <= 5; ++id) rig.subscribe(id);
+    rig.run(kSecond / 10);
+    ASSERT_EQ(rig.choices.size(), rig.joins.size());
+    for (std::size_t i = 0; i < rig.joins.size(); ++i) {
+        EXPECT_EQ(rig.choices[i].at, rig.joins[i].at);
+        EXPECT_TRUE(rig.choices[i].fits);
+        EXPECT_EQ(rig.choices[i].among, 3);
+    }
+}
+
 TEST(List, IsAskedForAgainWhereItMustBeAndFailed) {
     Rig rig(Site{.listAsked = true});
     EXPECT_EQ(rig.follows, 1);
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -99,12 +99,21 @@
     void wakeAfter(Micros after, const std::string& why) override { wakes.emplace(now + after, why); }
     void followList() override { ++follows; }
     void log(const std::string&) override {}
+    void chose(SubId, SfuId at, const double* score, int among) override {
+        choices.push_back({at, score != nullptr, among});
+    }
 
     Site site;
     std::vector<RoomType> rooms;
     Micros now = 100 * kSecond;
     std::unique_ptr<Logic> logic;
     std::vector<Sent> joins;
+    struct Choice {
+        SfuId at;
+        bool fits;
+        int among;
+    };
+    std::vector<Choice> choices;
     std::map<SubId, unsigned> count;
     std::map<SubId, int> rungs;
     std::map<SubId, Micros> throttled;
