--- a/bench/front.cpp
+++ b/bench/front.cpp
@@ -114,7 +114,8 @@
     }
     void fetched(bool) override {
         ++answers;
-        if (head.status != 200) ++bad;
+        if (head.status != 200 && bad++ < 1)
+            std::fprintf(stderr, "answered %d: %s\n", head.status, body.c_str());
         again.after(0);
     }
     void failed(http::Failed) override {
--- a/src/faces/http/face.cpp
+++ b/src/faces/http/face.cpp
@@ -80,7 +80,6 @@
     }
     ~Relay() override {
         if (exchange_) exchange_->heldBy(nullptr);
-        if (Viewer* viewer = face_.byToken(token_)) --viewer->fetches;
         face_.core_.delivery().forget(core::FetchId{key_});
     }
     void start() {
@@ -102,9 +101,9 @@
         cached.usedAt = ++face_.cacheUse_;
         if (what_ == What::Window) {
             http::Exchange* exchange = std::exchange(exchange_, nullptr);
+            over();
             exchange->heldBy(nullptr);
-            face_.sendWindow(*exchange, *viewer);
-            return over();
+            return face_.sendWindow(*exchange, *viewer);
         }
         const hls::Segment* segment =
             no_ < cached.list.segments.size() ? &cached.list.segments[no_] : nullptr;
@@ -234,11 +233,12 @@
             viewer->bytes += got_;
         }
         face_.relayedBytes_ += got_;
-        if (http::Exchange* exchange = std::exchange(exchange_, nullptr)) {
+        http::Exchange* exchange = std::exchange(exchange_, nullptr);
+        over();  // first: what finishes may bring the viewer's next request at once
+        if (exchange) {
             exchange->heldBy(nullptr);
             exchange->finish();
         }
-        over();
     }
 
     void failed(boxes::WireEnd how) override {
@@ -283,15 +283,17 @@
     }
     void end(int status, std::string_view why) {
         if (begun_) return cutShort();
-        if (http::Exchange* exchange = std::exchange(exchange_, nullptr)) {
-            exchange->heldBy(nullptr);
-            face_.refuse(*exchange, status, why, status == 503 ? face_.terms_.retryWhenFull : 0);
-        }
+        http::Exchange* exchange = std::exchange(exchange_, nullptr);
+        HttpFace& face = face_;
         over();
+        if (!exchange) return;
+        exchange->heldBy(nullptr);
+        face.refuse(*exchange, status, why, status == 503 ? face.terms_.retryWhenFull : 0);
     }
     void over() {
         const auto it = face_.relays_.find(key_);
         if (it == face_.relays_.end()) return;
+        if (Viewer* viewer = face_.byToken(token_)) --viewer->fetches;
         face_.bury(std::move(it->second));
         face_.relays_.erase(it);
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -118,10 +118,12 @@
                 break;
             }
             gotAny_ = true;
-            in_.append(buffer.data(), got.bytes);
-            const Parser::Fed fed = parser_->feed(in_);
-            in_.erase(0, fed.used);
-            if (in_.empty()) std::string().swap(in_);
+            // What lies there is parsed where it lies; only what the parser leaves is kept.
+            std::string_view bytes(buffer.data(), got.bytes);
+            if (!in_.empty()) bytes = in_.append(bytes);
+            const Parser::Fed fed = parser_->feed(bytes);
+            std::string left(bytes.substr(fed.used));
+            in_.swap(left);
             if (!tell()) return;
             if (fed.badStatus || in_.size() > limits_.headBytes) {
                 fail(Failed::BadAnswer);
--- a/src/http/parse.cpp
+++ b/src/http/parse.cpp
@@ -56,10 +56,7 @@
         fields.add(plain(name), plain(value));
     }
     void on_header_impl(Code&) override {}
-    void on_body_init_impl(const boost::optional<std::uint64_t>& length, Code&) override {
-        if (length) response_.length = *length;
-        user_.headParsed();
-    }
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, Code&) override {}
     std::size_t on_body_impl(View body, Code&) override {
         user_.bodyParsed(plain(body));
         return body.size();
@@ -86,7 +83,8 @@
     }
 };
 
-Parser::Parser(Kind kind, const WireLimits& limits, ParseUser& user) : any_(std::make_unique<Any>()) {
+Parser::Parser(Kind kind, const WireLimits& limits, ParseUser& user)
+    : user_(user), any_(std::make_unique<Any>()) {
     if (kind == Kind::Request)
         any_->request = std::make_unique<Core<true>>(limits, request_, response_, user);
     else
@@ -102,6 +100,12 @@
             const std::size_t used =
                 core.put(boost::asio::const_buffer(bytes.data() + fed.used, bytes.size() - fed.used), ec);
             fed.used += used;
+            // A head may come alone: its length must be known before the first byte of the body is.
+            if (core.is_header_done() && !headTold_) {
+                headTold_ = true;
+                if (const auto length = core.content_length()) response_.length = *length;
+                user_.headParsed();
+            }
             if (ec == beast::error::need_more) break;
             if (ec) {
                 fed.why = ec.message();
--- a/src/http/parse.hpp
+++ b/src/http/parse.hpp
@@ -48,6 +48,8 @@
     template <bool isRequest>
     class Core;
     struct Any;
+    ParseUser& user_;
+    bool headTold_ = false;
     RequestHead request_;
     ResponseHead response_;
     std::unique_ptr<Any> any_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -86,7 +86,13 @@
         flush();
     }
     void send(std::string_view bytes) override {
-        if (state_ != State::Sending || bytes.empty()) return;
+        if (state_ != State::Sending || bytes.empty() || dead()) return;
+        if (!chunked_ && unsent() == 0) {  // the usual case of a relay: nothing is copied
+            const net::Moved put = stream_->write(bytes);
+            bytes.remove_prefix(put.bytes);
+            if (put.then == net::Moved::Then::Broken) return die();
+            if (bytes.empty()) return;
+        }
         if (chunked_) {
             char size[24];
             std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -254,6 +254,23 @@
     EXPECT_EQ(f.body.size(), 30'000'000u);
 }
 
+TEST(HttpClient, KnowsTheLengthThoughTheHeadComesAlone) {
+    Rig rig;
+    rig.echo.hold = true;
+    rig.serve();
+    http::Connection conn(rig.net, rig.server->at(), {}, kSecond);
+    Fetch f;
+    conn.fetch(http::requestBytes("GET", "/", rig.server->at(), {}), false, f);
+    ASSERT_TRUE(rig.until([&] { return rig.echo.held.size() == 1; }));
+    rig.echo.held[0]->begin(200, {}, 3);
+    ASSERT_TRUE(rig.until([&] { return f.head.status == 200; }));
+    EXPECT_EQ(f.head.length, 3u);
+    rig.echo.held[0]->send("abc");
+    rig.echo.held[0]->finish();
+    ASSERT_TRUE(rig.until([&] { return f.done; }));
+    EXPECT_EQ(f.body, "abc");
+}
+
 // Each way a fetch can fail, by a peer that does just that.
 TEST(HttpClient, TellsHowFarItHadCome) {
     Loop loop;
