--- /dev/null
+++ b/fuzz/sip.cpp
@@ -0,0 +1,23 @@
+// The wire entry of SIP: a datagram, a stream in pieces, an offer. What can be answered is answered readably.
+#include <cstdint>
+#include <cstdlib>
+
+#include "sip/message.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    using namespace valekeel::sip;
+    const std::string_view text(reinterpret_cast<const char*>(data), size);
+    const Parsed parsed = parse(text);
+    if (parsed.got && parsed.got->request) response(*parsed.got, 200, "t", {{"Contact", "<sip:a@b>"}});
+    if (parsed.enough) response(*parsed.enough, parsed.status, "t", {});
+    if (parsed.enough && parsed.enough->method == "ACK") std::abort();
+    if (const auto offer = readOffer(text))
+        writeAnswer(*offer, *valekeel::net::endpointOf("127.0.0.1:9"), 1'000, 1, 1);
+    Framer framer(2'000);
+    for (std::size_t at = 0, step = 1; at < size; at += step, step = step * 2 % 61 + 1) {
+        if (!framer.feed(text.substr(at, step))) break;
+        while (framer.next()) {
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/faces/sip/face.cpp
@@ -0,0 +1,695 @@
+#include "faces/sip/face.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace valekeel::faces {
+namespace {
+
+constexpr const char* kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS, UPDATE";
+
+std::string wholeSecondsUp(Micros t) {
+    return std::to_string(std::max<Micros>(1, (t + kSecond - 1) / kSecond));
+}
+
+// One verdict for each INVITE however often it is sent: the draw is made from what names it.
+double drawOf(const std::string& key, std::uint64_t salt) {
+    std::uint64_t h = 1469598103934665603ull ^ salt;
+    for (const char c : key) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+    h ^= h >> 33;
+    h *= 0xff51afd7ed558ccdull;
+    h ^= h >> 33;
+    return static_cast<double>(h >> 11) / 9007199254740992.0;
+}
+
+}  // namespace
+
+struct SipFace::Call {
+    SubId sub;
+    std::string key, dialog, mergeKey, localTag, title;
+    sip::Way way;
+    sip::Message invite;
+    sip::Offer offer;
+    record::TraceContext trace;
+    RoomTypeId room;
+    std::uint32_t network = 0;
+    bool inGate = false, playing = false, confirmed = false, updateOut = false, updateDue = false;
+    bool callerRefreshes = false;
+    SfuId at;
+    int rung = 0;
+    std::uint32_t cseq = 0, heardCseq = 0;
+    std::uint64_t session = 0, version = 0;
+    Micros expires = 0;
+    std::string target;  // of the dialog: the caller's Contact
+    std::unique_ptr<net::Timer> sessionTimer, holdTimer, updateTimer;
+    std::unique_ptr<Hold> hold;
+};
+
+// A request of our own within a dialog: sent again until it is answered (timers E and F).
+struct SipFace::Out {
+    SipFace& face;
+    std::string branch, method, bytes;
+    SubId sub;
+    sip::Way way;
+    Micros wait;
+    net::Timer again, end;
+    Out(SipFace& face, std::string branch, std::string method, std::string bytes, SubId sub,
+        const sip::Way& way)
+        : face(face),
+          branch(std::move(branch)),
+          method(std::move(method)),
+          bytes(std::move(bytes)),
+          sub(sub),
+          way(way),
+          wait(face.terms_.times.t1),
+          again(face.net_,
+                [this] {
+                    this->face.sendOn(this->way, this->bytes);
+                    wait = std::min(2 * wait, this->face.terms_.times.t2);
+                    again.after(wait);
+                }),
+          end(face.net_, [this] { over(408); }) {
+        if (!way.stream) again.after(wait);
+        end.after(64 * face.terms_.times.t1);
+    }
+    void over(int status) {
+        again.cancel();
+        end.cancel();
+        SipFace& f = face;
+        const SubId id = sub;
+        const bool update = method != "BYE";
+        const auto it = f.out_.find(branch);
+        if (it == f.out_.end()) return;
+        f.deadOut_.push_back(std::move(it->second));
+        f.out_.erase(it);
+        f.bury_.after(0);
+        Call* call = update ? f.bySub(id) : nullptr;
+        if (!call) return;
+        call->updateOut = false;
+        if (status == 481 || status == 408) return f.hangUp(*call, true);  // RFC 5057: the dialog is gone
+        if (status == 491) {  // glare: the caller's own request crossed ours; we didn't make the Call-ID
+            call->updateDue = true;
+            call->updateTimer->after(static_cast<Micros>(f.net_.draw() % 200) * 10'000);
+            return;
+        }
+        if (status < 300) f.armSession(*call);
+        if (call->updateDue) f.sendUpdate(*call);
+    }
+};
+
+// A stream of messages: framed by Content-Length, given up on when it loses its place.
+class SipFace::Stream final : public net::StreamUser {
+  public:
+    Stream(SipFace& face, std::uint64_t key, std::unique_ptr<net::Stream> s)
+        : face_(face),
+          stream_(std::move(s)),
+          way_{true, key, stream_->peer()},
+          framer_(face.terms_.limits.bytes),
+          idle_(face.net_, [this] { close(); }) {
+        stream_->handTo(*this);
+        idle_.after(face.terms_.streamIdle);
+    }
+    void readable() override {
+        std::array<char, 16'384> buffer;
+        while (stream_) {
+            const net::Moved got = stream_->read(buffer);
+            if (got.bytes > 0) {
+                idle_.after(face_.terms_.streamIdle);
+                bool good = framer_.feed(std::string_view(buffer.data(), got.bytes));
+                while (const auto one = framer_.next()) face_.heard(*one, way_);
+                good = good && framer_.feed("");
+                if (!good) return close();
+                continue;
+            }
+            if (got.then == net::Moved::Then::Again) return;
+            return close();
+        }
+    }
+    void writable() override { flush(); }
+    void send(const std::string& bytes) {
+        if (!stream_ || out_.size() > 8 * face_.terms_.limits.bytes)
+            return close();  // it takes nothing any more
+        out_ += bytes;
+        flush();
+    }
+    void close() {
+        if (!stream_) return;
+        stream_.reset();
+        idle_.cancel();
+        const auto it = face_.streams_.find(way_.connection);
+        if (it == face_.streams_.end()) return;
+        face_.deadStreams_.push_back(std::move(it->second));
+        face_.streams_.erase(it);
+        face_.bury_.after(0);
+    }
+
+  private:
+    void flush() {
+        if (!stream_ || out_.empty()) return;
+        const net::Moved put = stream_->write(out_);
+        out_.erase(0, put.bytes);
+        if (put.then == net::Moved::Then::Broken) close();
+    }
+    SipFace& face_;
+    std::unique_ptr<net::Stream> stream_;
+    sip::Way way_;
+    sip::Framer framer_;
+    std::string out_;
+    net::Timer idle_;
+};
+
+// Asks the box whether it still holds what plays.
+class SipFace::Hold final : public boxes::RequestUser {
+  public:
+    Hold(SipFace& face, SubId sub) : face_(face), sub_(sub) {}
+    std::unique_ptr<boxes::Request> request;
+
+  private:
+    void head(const http::ResponseHead& h) override {
+        status_ = h.status;
+        load_ = boxes::loadOf(h.fields);
+    }
+    void piece(std::string_view) override {}
+    void whole() override {
+        Call* call = face_.bySub(sub_);
+        if (!call) return;
+        if (status_ == 410) return face_.core_.lost(sub_, JoinEnd::Reset);
+        face_.core_.figures(sub_, call->at, load_.linkUse, load_.uplinkUse);
+        call->holdTimer->after(face_.terms_.holdEvery);
+    }
+    void failed(boxes::WireEnd how) override {
+        Call* call = face_.bySub(sub_);
+        if (!call) return;
+        if (how == boxes::WireEnd::NoRoomToSend || how == boxes::WireEnd::NoDescriptor ||
+            how == boxes::WireEnd::BrokenOutKept) {  // says nothing of the box
+            call->holdTimer->after(face_.terms_.holdEvery / 4);
+            return;
+        }
+        face_.core_.lost(sub_, boxes::meaningOf(how).end);
+    }
+    SipFace& face_;
+    SubId sub_;
+    int status_ = 0;
+    Load load_;
+};
+
+SipFace::SipFace(net::Net& net, const net::Endpoint& at, const SipTerms& terms, std::string name,
+                 const settings::Talks& talks, const settings::RoomTypes& rooms, const Ladder& ladder,
+                 admission::Gate& gate, core::Core& core, boxes::Boxes& boxes, boxes::Joins& joins,
+                 record::Log& log, std::uint64_t seed)
+    : net_(net),
+      terms_(terms),
+      name_(std::move(name)),
+      talks_(talks),
+      rooms_(rooms),
+      ladder_(ladder),
+      gate_(gate),
+      core_(core),
+      boxes_(boxes),
+      joins_(joins),
+      log_(log),
+      salt_(seed),
+      transactions_(net, terms.times, terms.transactions, *this),
+      overload_(terms.overload),
+      bury_(net,
+            [this] {
+                deadStreams_.clear();
+                deadHolds_.clear();
+                deadCalls_.clear();
+                deadOut_.clear();
+            }),
+      look_(net, [this] { look(); }) {
+    // Where the kernel chooses the port, the one it gives for datagrams may be taken for streams.
+    for (int left = at.port == 0 ? 16 : 1; !listener_; --left) {
+        datagrams_ = net.bind(at, *this);
+        try {
+            listener_ = net.listen(datagrams_->at(), *this);
+        } catch (const std::runtime_error&) {
+            if (left <= 1) throw;
+        }
+    }
+    look_.after(terms_.overload.every);
+}
+SipFace::~SipFace() {
+    calls_.clear();
+    out_.clear();
+    streams_.clear();
+}
+
+void SipFace::look() {
+    const double fill = static_cast<double>(gate_.held()) / static_cast<double>(gate_.bound());
+    overload_.look(net_.now(), fill, std::exchange(cameNow_, 0), std::exchange(servedNow_, 0));
+    look_.after(terms_.overload.every);
+}
+
+SipFace::Call* SipFace::bySub(SubId id) {
+    const auto it = calls_.find(id);
+    return it == calls_.end() ? nullptr : it->second.get();
+}
+SipFace::Call* SipFace::byDialog(const sip::Message& m) {
+    const auto it = byDialog_.find(m.callId + "|" + m.to.tag + "|" + m.from.tag);
+    return it == byDialog_.end() ? nullptr : it->second;
+}
+const record::TraceContext* SipFace::traceOf(SubId id) const {
+    const auto it = calls_.find(id);
+    return it == calls_.end() ? nullptr : &it->second->trace;
+}
+
+// ================= bytes in and out =================
+
+void SipFace::received(const net::Endpoint& from, std::string_view bytes) {
+    heard(bytes, sip::Way{false, 0, from});
+}
+
+void SipFace::accepted(std::unique_ptr<net::Stream> stream) {
+    if (streams_.size() >= terms_.streams) {
+        stream->reset();
+        return;
+    }
+    const std::uint64_t key = nextStream_++;
+    streams_[key] = std::make_unique<Stream>(*this, key, std::move(stream));
+}
+
+void SipFace::sendOn(const sip::Way& way, const std::string& bytes) {
+    if (!way.stream) {
+        datagrams_->send(way.peer, bytes);
+        return;
+    }
+    const auto it = streams_.find(way.connection);
+    if (it != streams_.end()) it->second->send(bytes);
+}
+
+void SipFace::heard(std::string_view bytes, const sip::Way& way) {
+    if (bytes.find_first_not_of("\r\n \t") == std::string_view::npos) return;  // keeps a NAT open
+    ++counts_.messages;
+    sip::Parsed parsed = sip::parse(bytes, terms_.limits);
+    if (!parsed.got) {
+        ++counts_.malformed;
+        log_.line(record::Level::Warning, net_.now(), net_.wallNow(), "bad-sip",
+                  {{"peer", net::text(way.peer)}, {"status", parsed.status}, {"why", parsed.why}});
+        if (parsed.enough && parsed.status) replyStateless(*parsed.enough, way, parsed.status);
+        return;
+    }
+    if (parsed.got->request)
+        onRequest(std::move(*parsed.got), way);
+    else
+        onAnswer(*parsed.got);
+}
+
+// Refused without keeping anything: what a flood may cost at most.
+void SipFace::replyStateless(const sip::Message& m, const sip::Way& way, int status, Micros comeBack) {
+    std::vector<std::pair<std::string, std::string>> more;
+    if (comeBack > 0) more.emplace_back("Retry-After", wholeSecondsUp(comeBack));
+    sip::Message copy = m;
+    if (const auto oc = m.vias.front().params.find("oc"); oc != m.vias.front().params.end()) {
+        const auto algo = m.vias.front().params.find("oc-algo");
+        copy.vias.front().written +=
+            overload_.viaParameters(algo == m.vias.front().params.end() ? "" : algo->second);
+    }
+    sendOn(way, sip::response(copy, status, record::hex64(drawOf(sip::Transactions::keyOf(m), salt_) * 1e18),
+                              more, "", &way.peer));
+}
+
+void SipFace::reply(const std::string& key, const sip::Message& m, int status,
+                    std::vector<std::pair<std::string, std::string>> more, const std::string& body) {
+    const auto call = byKey_.find(key);
+    sip::Message copy = m;
+    if (m.vias.front().params.count("oc")) {
+        const auto algo = m.vias.front().params.find("oc-algo");
+        copy.vias.front().written +=
+            overload_.viaParameters(algo == m.vias.front().params.end() ? "" : algo->second);
+    }
+    const std::string tag = call != byKey_.end() ? call->second->localTag : record::hex64(net_.draw());
+    const net::Endpoint* from = call != byKey_.end() ? &call->second->way.peer : nullptr;
+    transactions_.answer(key, status, sip::response(copy, status, tag, more, body, from));
+}
+
+// ================= requests =================
+
+void SipFace::onRequest(sip::Message m, const sip::Way& way) {
+    if (m.method == "ACK") {
+        if (transactions_.ack(m)) return;
+        if (Call* call = byDialog(m)) {
+            transactions_.acknowledged(call->key);
+            call->confirmed = true;
+        }
+        return;
+    }
+    const std::string key = sip::Transactions::keyOf(m);
+    // What is new is weighed before anything is kept of it; what is known is absorbed first.
+    if (m.method == "INVITE" && m.to.tag.empty() && !transactions_.knows(key)) {
+        ++counts_.invites;
+        ++cameNow_;
+        const double fill = static_cast<double>(gate_.held()) / static_cast<double>(gate_.bound());
+        const bool listens = m.vias.front().params.count("oc") > 0;
+        const auto priority = m.others.find("resource-priority");
+        const bool emergency = priority != m.others.end() && priority->second.compare(0, 3, "ets") == 0;
+        if (stopping_ || overload_.shed(drawOf(key, salt_), listens, emergency, fill)) {
+            ++counts_.shed;
+            return replyStateless(m, way, 503, terms_.retryWhenFull);
+        }
+    }
+    switch (transactions_.request(m, way)) {
+        case sip::Transactions::Came::Absorbed:
+            return;
+        case sip::Transactions::Came::Full:
+            ++counts_.shed;
+            return replyStateless(m, way, 503, terms_.retryWhenFull);
+        case sip::Transactions::Came::New:
+            break;
+    }
+    if (m.maxForwards && *m.maxForwards == 0 && m.method != "OPTIONS") return reply(key, m, 483);
+    if (m.method == "CANCEL") return onCancel(m, key);
+    for (const std::string& extension : m.require)
+        if (extension != "timer") return reply(key, m, 420, {{"Unsupported", extension}});
+    if (!m.to.tag.empty()) {
+        Call* call = byDialog(m);
+        if (!call) return reply(key, m, 481);
+        return inDialog(*call, m, key);
+    }
+    if (m.method == "INVITE") return onInvite(std::move(m), way);
+    if (m.method == "OPTIONS")
+        return reply(key, m, 200, {{"Allow", kAllow}, {"Accept", "application/sdp"}, {"Supported", "timer"}});
+    if (m.method == "BYE" || m.method == "UPDATE") return reply(key, m, 481);
+    reply(key, m, 405, {{"Allow", kAllow}});
+}
+
+void SipFace::onInvite(sip::Message m, const sip::Way& way) {
+    const std::string key = sip::Transactions::keyOf(m);
+    // The same call by another way (section 8.2.2.2): forked upstream, or sent from a second port.
+    const std::string mergeKey = m.callId + "|" + m.from.tag + "|" + std::to_string(m.cseq);
+    if (merged_.count(mergeKey)) {
+        ++counts_.merged;
+        return reply(key, m, 482);
+    }
+    const auto talk = talks_.find(m.user);
+    if (talk == talks_.end()) return reply(key, m, 404);
+    const auto named = m.uriParams.find("room");
+    const auto room = rooms_.find(named == m.uriParams.end() ? rooms_.types.front().name : named->second);
+    if (!room) return reply(key, m, 404);
+    if (!m.contact || m.contact->uri.empty()) return reply(key, m, 400);
+    sip::Offer offer;
+    if (m.body.empty()) {  // the offer is ours, then, and the ACK carries the answer
+        offer.hasVideo = true;
+        offer.mediaLines = {"video 0 RTP/AVP 96"};
+    } else {
+        if (m.contentType.compare(0, 15, "application/sdp") != 0)
+            return reply(key, m, 415, {{"Accept", "application/sdp"}});
+        const auto read = sip::readOffer(m.body);
+        if (!read || !read->hasVideo || !read->wantsVideo) return reply(key, m, 488);
+        offer = *read;
+    }
+    if (m.sessionExpires && static_cast<Micros>(*m.sessionExpires) * kSecond < terms_.minSe)
+        return reply(key, m, 422, {{"Min-SE", wholeSecondsUp(terms_.minSe)}});
+
+    const std::uint32_t network = gate_.networkOf(way.peer.ip);
+    if (calls_.size() >= terms_.calls || gate_.ask(network) != admission::Gate::Let::In)
+        return reply(key, m, 503, {{"Retry-After", wholeSecondsUp(terms_.retryWhenFull)}});
+
+    Wish wish;
+    wish.room = *room;
+    wish.title = TitleId{m.user};
+    wish.firstCell = talk->second.firstCell;
+    wish.holders = talk->second.holders;
+    wish.maxRung = static_cast<int>(ladder_.kb.size()) - 1;
+    const RoomType& type = rooms_.types[room->v];
+    while (offer.mostBits && wish.maxRung > type.floor &&
+           ladder_.kb[static_cast<std::size_t>(wish.maxRung)] * type.rateFactor * 8'000 >
+               static_cast<double>(*offer.mostBits) * 1.001)
+        --wish.maxRung;
+    Micros timeout = rooms_.clientTimeouts[room->v];
+    if (m.expires && *m.expires > 0) timeout = std::min(timeout, static_cast<Micros>(*m.expires) * kSecond);
+    const auto id = core_.ask(*this, wish, timeout);
+    if (!id) {
+        gate_.answered(network);
+        return reply(key, m, 503, {{"Retry-After", wholeSecondsUp(terms_.retryWhenFull)}});
+    }
+    auto made = std::make_unique<Call>();
+    Call& call = *made;
+    call.sub = *id;
+    call.key = key;
+    call.localTag = record::hex64(net_.draw());
+    call.dialog = m.callId + "|" + call.localTag + "|" + m.from.tag;
+    call.mergeKey = mergeKey;
+    call.title = m.user;
+    call.way = way;
+    call.offer = std::move(offer);
+    const auto parent = m.others.find("traceparent");
+    const auto trace = parent == m.others.end() ? std::nullopt : record::parseTraceParent(parent->second);
+    call.trace = trace ? *trace : record::newTrace(net_.draw(), net_.draw(), net_.draw());
+    call.room = *room;
+    call.network = network;
+    call.inGate = true;
+    call.heardCseq = m.cseq;
+    call.session = net_.draw() >> 1;
+    call.target = m.contact->uri;
+    const bool timer = std::find(m.supported.begin(), m.supported.end(), "timer") != m.supported.end();
+    call.callerRefreshes = timer && m.refresher != "uas";
+    call.expires =
+        m.sessionExpires ? static_cast<Micros>(*m.sessionExpires) * kSecond : terms_.sessionExpires;
+    call.invite = std::move(m);
+    call.sessionTimer = std::make_unique<net::Timer>(net_, [this, sub = *id] {
+        Call* c = bySub(sub);
+        if (!c) return;
+        if (!c->callerRefreshes) return sendUpdate(*c);  // its answer arms the timer again
+        ++counts_.expired;
+        hangUp(*c, true);
+    });
+    call.holdTimer = std::make_unique<net::Timer>(net_, [this, sub = *id] {
+        if (Call* c = bySub(sub)) askHold(*c);
+    });
+    call.updateTimer = std::make_unique<net::Timer>(net_, [this, sub = *id] {
+        Call* c = bySub(sub);
+        if (c && c->updateDue) sendUpdate(*c);
+    });
+    byKey_[key] = &call;
+    byDialog_[call.dialog] = &call;
+    merged_[mergeKey] = &call;
+    calls_[*id] = std::move(made);
+    joins_.scribe(*id, *this);
+    log_.line(record::Level::Info, net_.now(), net_.wallNow(), "asked",
+              {{"trace", call.trace.trace},
+               {"sub", id->v},
+               {"title", call.title},
+               {"room", type.name},
+               {"face", "sip"},
+               {"call", call.invite.callId},
+               {"network", gate_.nameOf(network)}});
+    reply(key, call.invite, 100);
+    core_.begin(*id);
+}
+
+void SipFace::onCancel(const sip::Message& m, const std::string& key) {
+    std::string invite = key.substr(0, key.size() - 7);  // less "|CANCEL"
+    const auto it = byKey_.find(invite);
+    reply(key, m, transactions_.knows(invite) ? 200 : 481);
+    // Behind a final answer a CANCEL does nothing: whichever came first is what happened (section 9.2).
+    if (it == byKey_.end() || it->second->playing) return;
+    ++counts_.cancelled;
+    Call& call = *it->second;
+    reply(call.key, call.invite, 487);
+    forget(call, true);
+}
+
+void SipFace::inDialog(Call& call, const sip::Message& m, const std::string& key) {
+    if (m.cseq <= call.heardCseq && m.method != "CANCEL") return reply(key, m, 500);  // out of order (12.2.2)
+    call.heardCseq = m.cseq;
+    if (m.method == "BYE") {
+        reply(key, m, 200);
+        return forget(call, true);
+    }
+    if (m.method == "OPTIONS") return reply(key, m, 200, {{"Allow", kAllow}});
+    if (m.method != "INVITE" && m.method != "UPDATE") return reply(key, m, 405, {{"Allow", kAllow}});
+    if (call.updateOut && !m.body.empty())
+        return reply(key, m, 491);  // glare: ours is out (RFC 3311, section 5.2)
+    if (!call.playing) return reply(key, m, 491);
+    if (m.contact && !m.contact->uri.empty()) call.target = m.contact->uri;
+    std::string body;
+    if (!m.body.empty()) {
+        const auto offer = sip::readOffer(m.body);
+        if (!offer || !offer->hasVideo) return reply(key, m, 488);
+        call.offer = *offer;
+        ++call.version;
+        body = answerBody(call);
+    } else if (m.method == "INVITE") {
+        body = answerBody(call);
+    }
+    if (m.sessionExpires)
+        call.expires = std::max(terms_.minSe, static_cast<Micros>(*m.sessionExpires) * kSecond);
+    armSession(call);
+    reply(key, m, 200, dialogFields(call), body);
+}
+
+void SipFace::onAnswer(const sip::Message& m) {
+    const auto it = out_.find(m.vias.front().branch);
+    if (it == out_.end() || m.status < 200 || it->second->method != m.method) return;
+    it->second->over(m.status);
+}
+
+// ================= what the core says =================
+
+std::string SipFace::answerBody(const Call& call) const {
+    const net::Endpoint* at = boxes_.whereIs(call.at);
+    const RoomType& type = rooms_.types[call.room.v];
+    const double kb = ladder_.kb[static_cast<std::size_t>(call.rung)] * type.rateFactor;
+    return sip::writeAnswer(call.offer, at ? *at : datagrams_->at(),
+                            static_cast<std::uint64_t>(std::llround(kb * 8'000)), call.session, call.version);
+}
+
+std::vector<std::pair<std::string, std::string>> SipFace::dialogFields(const Call& call) const {
+    return {{"Contact", "<sip:" + name_ + "@" + net::text(datagrams_->at()) + ">"},
+            {"Allow", kAllow},
+            {"Supported", "timer"},
+            {"Session-Expires",
+             wholeSecondsUp(call.expires) + (call.callerRefreshes ? ";refresher=uac" : ";refresher=uas")}};
+}
+
+void SipFace::plays(SubId id, SfuId at, int rung) {
+    Call* call = bySub(id);
+    if (!call) return;
+    ++servedNow_;
+    if (std::exchange(call->inGate, false)) gate_.answered(call->network);
+    call->playing = true;
+    call->at = at;
+    call->rung = rung;
+    armSession(*call);
+    call->holdTimer->after(terms_.holdEvery);
+    auto more = dialogFields(*call);
+    if (call->callerRefreshes) more.emplace_back("Require", "timer");
+    more.emplace_back("traceparent", record::write(call->trace));
+    reply(call->key, call->invite, 200, std::move(more), answerBody(*call));
+}
+
+void SipFace::throttled(SubId id, Micros comeBack) {
+    Call* call = bySub(id);
+    if (!call) return;
+    ++servedNow_;
+    std::vector<std::pair<std::string, std::string>> more;
+    if (comeBack > 0) more.emplace_back("Retry-After", wholeSecondsUp(comeBack));
+    reply(call->key, call->invite, 486, std::move(more));
+    forget(*call, false);
+}
+
+void SipFace::terminated(SubId id, core::Ended how) {
+    Call* call = bySub(id);
+    if (!call) return;
+    ++servedNow_;
+    reply(call->key, call->invite, how == core::Ended::TimedOut ? 504 : 500);
+    forget(*call, false);
+}
+
+void SipFace::rungSet(SubId id, int rung) {
+    Call* call = bySub(id);
+    if (!call || call->rung == rung) return;
+    call->rung = rung;
+    ++call->version;
+    const auto& allow = call->invite.allow;
+    if (std::find(allow.begin(), allow.end(), "update") == allow.end()) return;
+    call->updateDue = true;
+    if (!call->updateOut) call->updateTimer->after(0);
+}
+
+void SipFace::broke(SubId id) {
+    if (Call* call = bySub(id)) hangUp(*call, false);
+}
+
+void SipFace::neverAcknowledged(const std::string& key) {
+    const auto it = byKey_.find(key);
+    if (it == byKey_.end()) return;
+    ++counts_.unacknowledged;
+    hangUp(*it->second, true);  // section 13.3.1.4: the caller may be there all the same
+}
+
+// ================= within a dialog =================
+
+void SipFace::sendInDialog(Call& call, const char* method, const std::string& body) {
+    const std::string branch = "z9hG4bK" + record::hex64(net_.draw());
+    const sip::Message& m = call.invite;
+    std::string text = std::string(method) + " " + sip::headerSafe(call.target) +
+                       " SIP/2.0\r\nVia: SIP/2.0/" + (call.way.stream ? "TCP " : "UDP ") +
+                       net::text(datagrams_->at()) + ";branch=" + branch + ";rport\r\nMax-Forwards: 70\r\n";
+    for (const std::string& route : m.recordRoutes) text += "Route: " + sip::headerSafe(route) + "\r\n";
+    text += "From: " + sip::headerSafe(m.to.written) + ";tag=" + call.localTag +
+            "\r\nTo: " + sip::headerSafe(m.from.written) + "\r\nCall-ID: " + sip::headerSafe(m.callId) +
+            "\r\nCSeq: " + std::to_string(++call.cseq) + " " + method + "\r\n";
+    for (const auto& [name, value] : dialogFields(call)) text += name + ": " + value + "\r\n";
+    if (!body.empty()) text += "Content-Type: application/sdp\r\n";
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (out_.size() >= terms_.transactions) return;
+    sendOn(call.way, text);
+    out_[branch] = std::make_unique<Out>(*this, branch, method, text, call.sub, call.way);
+}
+
+void SipFace::sendUpdate(Call& call) {
+    if (call.updateOut) return;
+    call.updateDue = false;
+    call.updateOut = true;
+    ++counts_.updates;
+    const auto& allow = call.invite.allow;
+    const bool may = std::find(allow.begin(), allow.end(), "update") != allow.end();
+    // A caller without UPDATE is asked by OPTIONS whether it is still there; its rung stays as it was told.
+    sendInDialog(call, may ? "UPDATE" : "OPTIONS", may ? answerBody(call) : "");
+}
+
+void SipFace::hangUp(Call& call, bool tellCore) {
+    sendInDialog(call, "BYE", "");
+    forget(call, tellCore);
+}
+
+void SipFace::forget(Call& call, bool tellCore) {
+    const SubId id = call.sub;
+    log_.line(record::Level::Info, net_.now(), net_.wallNow(), "viewer-over",
+              {{"trace", call.trace.trace}, {"sub", id.v}, {"face", "sip"}});
+    if (std::exchange(call.inGate, false)) gate_.answered(call.network);
+    transactions_.acknowledged(call.key);  // whatever became of its 200, it is sent no more
+    byKey_.erase(call.key);
+    byDialog_.erase(call.dialog);
+    merged_.erase(call.mergeKey);
+    call.sessionTimer->cancel();
+    call.holdTimer->cancel();
+    call.updateTimer->cancel();
+    const auto it = calls_.find(id);
+    deadCalls_.push_back(std::move(it->second));
+    calls_.erase(it);
+    bury_.after(0);
+    if (tellCore) core_.left(id);
+    joins_.forget(id);
+}
+
+// A caller that refreshes is given up on a little before its time is over, as RFC 4028, section 10, asks.
+void SipFace::armSession(Call& call) {
+    const Micros wait = call.callerRefreshes ? call.expires - std::min<Micros>(32 * kSecond, call.expires / 3)
+                                             : call.expires / 2;
+    call.sessionTimer->after(wait);
+}
+
+void SipFace::askHold(Call& call) {
+    if (call.hold) deadHolds_.push_back(std::move(call.hold));
+    bury_.after(0);
+    call.hold = std::make_unique<Hold>(*this, call.sub);
+    call.hold->request = boxes_.send(call.at, "HEAD", "/sub/" + joins_.keyOf(call.sub), {}, false,
+                                     terms_.holdWithin, *call.hold);
+}
+
+boxes::JoinWords SipFace::wordsFor(SubId id, int) {
+    boxes::JoinWords words;
+    const Call* call = bySub(id);
+    if (!call) return words;
+    words.title = call->title;
+    words.room = rooms_.types[call->room.v].name;
+    record::TraceContext trace = call->trace;
+    trace.parent = record::hex64(net_.draw() | 1);
+    words.fields.add("traceparent", record::write(trace));
+    return words;
+}
+
+void SipFace::finishUp() {
+    stopping_ = true;
+    std::vector<Call*> all;
+    for (auto& [id, call] : calls_) all.push_back(call.get());
+    for (Call* call : all)
+        if (call->playing) hangUp(*call, true);
+}
+
+}  // namespace valekeel::faces
--- /dev/null
+++ b/src/faces/sip/face.hpp
@@ -0,0 +1,137 @@
+// The SIP face (RFC 3261): a call to a talk's room is a subscription's request. It places nothing, retries no
+// set-up and counts no seats; the core, the module, the boxes and the gate are those of the HTTP face.
+//
+//   INVITE sip:TITLE@front;room=ROOM   100 at once; then 200 with the box's address and the rung's bandwidth
+//   in
+//                                      SDP; 486 with Retry-After where the module throttles; 500 or 504 where
+//                                      it terminates; 503 with Retry-After where this front is overloaded
+//   CANCEL, BYE, UPDATE, re-INVITE, OPTIONS
+//
+// A change of rung is told by UPDATE to callers that allow it. While a call lasts, the box is asked now and
+// then whether it still holds it; if not, the caller gets a BYE.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "admission/gate.hpp"
+#include "boxes/joins.hpp"
+#include "core/core.hpp"
+#include "record/log.hpp"
+#include "record/trace.hpp"
+#include "settings/site.hpp"
+#include "sip/overload.hpp"
+#include "sip/transactions.hpp"
+
+namespace valekeel::faces {
+
+struct SipTerms {
+    sip::SipTimes times;
+    sip::SipLimits limits;
+    sip::OverloadTerms overload;
+    std::size_t transactions = 20'000, calls = 20'000, streams = 2'000;
+    Micros sessionExpires = 120'000'000, minSe = 90'000'000;
+    Micros holdEvery = 4'000'000, holdWithin = 3'000'000;
+    Micros streamIdle = 120'000'000;
+    Micros retryWhenFull = 1'000'000;
+};
+
+struct SipCounts {
+    std::uint64_t messages = 0, malformed = 0, invites = 0, shed = 0, merged = 0, cancelled = 0,
+                  unacknowledged = 0, expired = 0, updates = 0;
+};
+
+class SipFace final : public core::Face,
+                      public boxes::JoinScribe,
+                      sip::TransactionUser,
+                      net::DatagramUser,
+                      net::ListenerUser {
+  public:
+    // Listens for datagrams and streams at the same place.
+    SipFace(net::Net&, const net::Endpoint&, const SipTerms&, std::string name, const settings::Talks&,
+            const settings::RoomTypes&, const Ladder&, admission::Gate&, core::Core&, boxes::Boxes&,
+            boxes::Joins&, record::Log&, std::uint64_t seed);
+    ~SipFace() override;
+    net::Endpoint at() const { return datagrams_->at(); }
+    void stopTaking() { stopping_ = true; }
+    void finishUp();  // BYE to all that play
+    std::size_t calls() const { return calls_.size(); }
+    std::size_t transactions() const { return transactions_.size(); }
+    std::uint64_t absorbed() const { return transactions_.absorbed(); }
+    const SipCounts& counts() const { return counts_; }
+    const sip::Overload& overload() const { return overload_; }
+    const record::TraceContext* traceOf(SubId) const;
+
+  private:
+    struct Call;
+    class Stream;
+    class Hold;
+    struct Out;
+
+    void received(const net::Endpoint& from, std::string_view bytes) override;
+    void accepted(std::unique_ptr<net::Stream>) override;
+    void heard(std::string_view bytes, const sip::Way&);
+    void onRequest(sip::Message, const sip::Way&);
+    void onAnswer(const sip::Message&);
+    void onInvite(sip::Message, const sip::Way&);
+    void onCancel(const sip::Message&, const std::string& key);
+    void inDialog(Call&, const sip::Message&, const std::string& key);
+    void reply(const std::string& key, const sip::Message&, int status,
+               std::vector<std::pair<std::string, std::string>> more = {}, const std::string& body = "");
+    void replyStateless(const sip::Message&, const sip::Way&, int status, Micros comeBack = 0);
+
+    void plays(SubId, SfuId, int rung) override;
+    void throttled(SubId, Micros comeBack) override;
+    void terminated(SubId, core::Ended) override;
+    void rungSet(SubId, int rung) override;
+    void broke(SubId) override;
+    boxes::JoinWords wordsFor(SubId, int joinNo) override;
+
+    void sendOn(const sip::Way&, const std::string& bytes) override;
+    void neverAcknowledged(const std::string& key) override;
+
+    std::string answerBody(const Call&) const;
+    std::vector<std::pair<std::string, std::string>> dialogFields(const Call&) const;
+    void sendInDialog(Call&, const char* method, const std::string& body);
+    void sendUpdate(Call&);
+    void hangUp(Call&, bool tellCore);  // BYE, and forget
+    void forget(Call&, bool tellCore);
+    void armSession(Call&);
+    void askHold(Call&);
+    Call* bySub(SubId);
+    Call* byDialog(const sip::Message&);
+    void look();
+
+    net::Net& net_;
+    SipTerms terms_;
+    std::string name_;
+    const settings::Talks& talks_;
+    const settings::RoomTypes& rooms_;
+    const Ladder& ladder_;
+    admission::Gate& gate_;
+    core::Core& core_;
+    boxes::Boxes& boxes_;
+    boxes::Joins& joins_;
+    record::Log& log_;
+    std::uint64_t salt_;
+    sip::Transactions transactions_;
+    sip::Overload overload_;
+    std::unique_ptr<net::Datagrams> datagrams_;
+    std::unique_ptr<net::Listener> listener_;
+    std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
+    std::vector<std::unique_ptr<Stream>> deadStreams_;
+    std::uint64_t nextStream_ = 1;
+    std::map<SubId, std::unique_ptr<Call>> calls_;
+    std::map<std::string, Call*> byKey_, byDialog_, merged_;
+    std::map<std::string, std::unique_ptr<Out>> out_;  // own requests, by branch
+    std::vector<std::unique_ptr<Call>> deadCalls_;
+    std::vector<std::unique_ptr<Out>> deadOut_;
+    std::vector<std::unique_ptr<Hold>> deadHolds_;
+    net::Timer bury_, look_;
+    SipCounts counts_;
+    std::uint64_t cameNow_ = 0, servedNow_ = 0;
+    bool stopping_ = false;
+};
+
+}  // namespace valekeel::faces
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -27,6 +27,8 @@
     Allowed allowed;
     settings::Talks talks;
     net::Endpoint http;
+    std::optional<net::Endpoint> sip;
+    faces::SipTerms sipTerms;
     http::WireLimits wire;
     hints::HintLimits hints;
     faces::HttpTerms terms;
@@ -101,6 +103,31 @@
     t.core.reportEvery = t.tidings.every;
 }
 
+void readSip(Cursor& top, Told& t) {
+    auto node = top.one("sip");
+    if (!node) return;
+    t.sip = node->address("listen");
+    faces::SipTerms& s = t.sipTerms;
+    s.limits.bytes = static_cast<std::size_t>(node->whole("message-bytes", 1'024, 65'535, 65'535));
+    s.limits.headers = static_cast<std::size_t>(node->whole("headers", 16, 10'000, 100));
+    s.transactions = static_cast<std::size_t>(node->whole("transactions", 1, 10'000'000, 20'000));
+    s.calls = static_cast<std::size_t>(node->whole("calls", 1, 10'000'000, 20'000));
+    s.streams = static_cast<std::size_t>(node->whole("streams", 0, 1'000'000, 2'000));
+    s.times.t1 = node->time("t1", 1'000, 10 * kSecond, s.times.t1);
+    s.times.t2 = node->time("t2", s.times.t1, 60 * kSecond, std::max(s.times.t1, s.times.t2));
+    s.times.t4 = node->time("t4", 1'000, 60 * kSecond, s.times.t4);
+    s.minSe = node->time("min-session", kSecond, kHour, s.minSe);
+    s.sessionExpires = node->time("session", s.minSe, 24 * kHour, std::max(s.minSe, s.sessionExpires));
+    s.holdEvery = node->time("hold-every", 100'000, kHour, s.holdEvery);
+    s.holdWithin = node->time("hold-within", 100'000, kHour, s.holdWithin);
+    s.streamIdle = node->time("stream-idle", kSecond, kHour, s.streamIdle);
+    s.retryWhenFull = node->time("retry-when-full", kSecond, kHour, s.retryWhenFull);
+    s.overload.targetFill = node->number("target-fill", 0.05, 0.95, s.overload.targetFill);
+    s.overload.every = node->time("look-every", 10'000, 10 * kSecond, s.overload.every);
+    s.overload.ratePerSecond = node->number("rate", 1, 1e6, s.overload.ratePerSecond);
+    node->finish();
+}
+
 void readList(Cursor& top, Told& t) {
     Cursor node = top.need("list");
     t.listFile = node.text("file", "");
@@ -158,6 +185,7 @@
     t.allowed = settings::readAllowed(top);
     t.talks = settings::readTalks(top, t.machines.fleet);
     readWire(top, t);
+    readSip(top, t);
     readList(top, t);
     readAdmission(top, t);
     if (auto log = top.one("log")) {
@@ -182,6 +210,7 @@
     admission::Gate gate;
     std::unique_ptr<core::Core> core;
     std::unique_ptr<faces::HttpFace> face;
+    std::unique_ptr<faces::SipFace> sip;
     std::unique_ptr<list::Follower> follower;
     list::BoxList held;
     net::Timer stopping, flushing;
@@ -224,6 +253,10 @@
         face = std::make_unique<faces::HttpFace>(net, told.http, told.wire, told.terms, told.hints, told.name,
                                                  told.talks, told.rooms, told.ladder, gate, *core, boxes,
                                                  joins, log);
+        if (told.sip)
+            sip = std::make_unique<faces::SipFace>(net, *told.sip, told.sipTerms, told.name, told.talks,
+                                                   told.rooms, told.ladder, gate, *core, boxes, joins, log,
+                                                   seed);
         flushing.after(kSecond);
         line(record::Level::Info, "started",
              {{"front", told.name}, {"http", net::text(face->at())}, {"seed", seed}});
@@ -238,6 +271,8 @@
         nlohmann::ordered_json out;
         if (face)
             if (const auto* trace = face->traceOf(id)) out["trace"] = trace->trace;
+        if (sip)
+            if (const auto* trace = sip->traceOf(id)) out["trace"] = trace->trace;
         out["sub"] = id.v;
         return out;
     }
@@ -349,10 +384,12 @@
     }
 
     void lookWhetherDone() {
-        if (core->unanswered() > 0 || (face->viewers() > 0 && net.now() < stopBy)) {
+        const bool plays = face->viewers() > 0 || (sip && sip->calls() > 0);
+        if (core->unanswered() > 0 || (plays && net.now() < stopBy)) {
             stopping.after(20'000);
             return;
         }
+        if (sip) sip->finishUp();
         face->finishUp([this] {
             const core::Counts& c = core->counts();
             line(record::Level::Info, "stopped",
@@ -371,6 +408,7 @@
     : parts_(std::make_unique<Parts>(net, readAll(document), seed, epoch, other)) {}
 Front::~Front() {
     if (parts_) {
+        parts_->sip.reset();
         parts_->face.reset();
         parts_->core.reset();
     }
@@ -382,12 +420,16 @@
 faces::HttpFace& Front::face() {
     return *parts_->face;
 }
+faces::SipFace* Front::sip() {
+    return parts_->sip.get();
+}
 core::Core& Front::core() {
     return *parts_->core;
 }
 void Front::stop(Micros playOn, std::function<void()> done) {
     parts_->line(record::Level::Info, "stopping", {{"play_on_us", playOn}});
     parts_->face->stopTaking();
+    if (parts_->sip) parts_->sip->stopTaking();
     parts_->stopped = std::move(done);
     parts_->stopBy = parts_->net.now() + playOn;
     parts_->stopping.after(0);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -9,6 +9,7 @@
 #include "boxes/joins.hpp"
 #include "core/core.hpp"
 #include "faces/http/face.hpp"
+#include "faces/sip/face.hpp"
 #include "list/follow.hpp"
 #include "settings/reading.hpp"
 
@@ -29,6 +30,7 @@
 
     net::Endpoint http() const;
     faces::HttpFace& face();
+    faces::SipFace* sip();  // nothing where the settings name none
     core::Core& core();
     // Nothing new is taken; what was taken is answered; what plays goes on for `playOn`, then ends. Calls
     // back once all is said.
--- a/src/net/epoll.cpp
+++ b/src/net/epoll.cpp
@@ -243,6 +243,61 @@
     std::uint64_t ticket_ = 0;
 };
 
+class EpollDatagrams final : public Datagrams, private EpollNet::Handler {
+  public:
+    EpollDatagrams(EpollNet& net, const Endpoint& at, DatagramUser& user) : net_(net), user_(user) {
+        fd_ = ::socket(at.ip.is_v6() ? AF_INET6 : AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        sockaddr_storage raw;
+        const socklen_t size = toRaw(at, raw);
+        if (fd_ < 0 || ::bind(fd_, reinterpret_cast<sockaddr*>(&raw), size) < 0) {
+            const std::string why = "cannot take datagrams at " + text(at) + ": " + std::strerror(errno);
+            if (fd_ >= 0) ::close(fd_);
+            throw std::runtime_error(why);
+        }
+        const int room =
+            4 * 1024 * 1024;  // as much as the system allows of it: a burst should wait, not drop
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+        at_ = localOf(fd_);
+        ticket_ = net_.enter(fd_, *this, EPOLLIN | EPOLLET);
+    }
+    ~EpollDatagrams() override {
+        net_.leave(ticket_, fd_);
+        ::close(fd_);
+    }
+    Endpoint at() const override { return at_; }
+    void send(const Endpoint& to, std::string_view bytes) override {
+        sockaddr_storage raw;
+        const socklen_t size = toRaw(to, raw);
+        ::sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<sockaddr*>(&raw), size);
+    }
+
+  private:
+    void happened(std::uint32_t) override {
+        static thread_local std::array<char, 65'536> buffer;
+        const std::uint64_t ticket = ticket_;
+        EpollNet& net = net_;
+        for (;;) {
+            sockaddr_storage raw{};
+            socklen_t size = sizeof raw;
+            const ssize_t got =
+                ::recvfrom(fd_, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&raw), &size);
+            if (got < 0 && errno == EINTR) continue;
+            // A send that found nobody there shows as an error here, once: it says nothing of what comes
+            // next.
+            if (got < 0 && errno == ECONNREFUSED) continue;
+            if (got < 0) return;
+            user_.received(fromRaw(raw), std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+            if (net.slots_[ticket & 0xffffffff].generation != ticket >> 32) return;
+        }
+    }
+
+    EpollNet& net_;
+    DatagramUser& user_;
+    int fd_ = -1;
+    Endpoint at_;
+    std::uint64_t ticket_ = 0;
+};
+
 class EpollNet::SignalHandler final : public EpollNet::Handler {
   public:
     SignalHandler(EpollNet& net, const std::vector<int>& signals, std::function<void(int)> heard)
@@ -339,6 +394,10 @@
     return std::make_unique<EpollListener>(*this, at, user);
 }
 
+std::unique_ptr<Datagrams> EpollNet::bind(const Endpoint& at, DatagramUser& user) {
+    return std::make_unique<EpollDatagrams>(*this, at, user);
+}
+
 void EpollNet::onSignals(const std::vector<int>& signals, std::function<void(int)> heard) {
     signals_ = std::make_unique<SignalHandler>(*this, signals, std::move(heard));
 }
--- a/src/net/epoll.hpp
+++ b/src/net/epoll.hpp
@@ -19,6 +19,7 @@
     Wheel& wheel() override { return wheel_; }
     std::unique_ptr<Stream> connect(const Endpoint&, StreamUser&) override;
     std::unique_ptr<Listener> listen(const Endpoint&, ListenerUser&) override;
+    std::unique_ptr<Datagrams> bind(const Endpoint&, DatagramUser&) override;
     std::uint64_t draw() override { return chance_(); }
 
     void run();                // until stop()
@@ -30,6 +31,7 @@
   private:
     friend class EpollStream;
     friend class EpollListener;
+    friend class EpollDatagrams;
     class Handler {
       public:
         virtual ~Handler() = default;
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -66,6 +66,20 @@
     virtual Endpoint at() const = 0;
 };
 
+class DatagramUser {
+  public:
+    virtual ~DatagramUser() = default;
+    virtual void received(const Endpoint& from, std::string_view bytes) = 0;
+};
+
+// Datagrams in and out of one place. What can't be sent now is lost, as any datagram may be.
+class Datagrams {
+  public:
+    virtual ~Datagrams() = default;
+    virtual Endpoint at() const = 0;
+    virtual void send(const Endpoint& to, std::string_view bytes) = 0;
+};
+
 class Net {
   public:
     virtual ~Net() = default;
@@ -76,6 +90,7 @@
     virtual std::unique_ptr<Stream> connect(const Endpoint&, StreamUser&) = 0;
     // Throws std::runtime_error, naming the address, if it can't be had.
     virtual std::unique_ptr<Listener> listen(const Endpoint&, ListenerUser&) = 0;
+    virtual std::unique_ptr<Datagrams> bind(const Endpoint&, DatagramUser&) = 0;  // throws as listen() does
     virtual std::uint64_t draw() = 0;  // for ids; decisions have generators of their own
 };
 
--- a/src/rehearse/drill.cpp
+++ b/src/rehearse/drill.cpp
@@ -429,6 +429,8 @@
     std::map<std::string, double> benefit;
     for (const RoomType& r : day.rooms.types) benefit[r.name] = r.benefit;
     std::set<std::string> paidSubs;
+    double wanted = 0, got = 0;
+    const Micros dayEnd = ledger.lines().empty() ? 0 : ledger.lines().back().at;
     for (const Line& l : ledger.lines()) {
         const auto room = day.terms.rooms.find(l.room);
         const bool paid = room != day.terms.rooms.end() && room->second.paid;
@@ -465,14 +467,25 @@
             ++result.paidSetUps;
         } else if (l.what == "arrive") {
             ++result.joinsAt[l.box];
+        } else if (l.what == "wants") {
+            wanted += benefit[l.room] *
+                      std::min(l.number, static_cast<double>(std::max<Micros>(0, dayEnd - l.at))) / 1e6;
         } else if (l.what == "segment" && l.player >= 0) {
             ++result.segments;
+            const double missing =
+                std::max(0.0, 1 - static_cast<double>(day.make.segment) / std::max(1.0, l.number));
+            const double worth = l.rung >= 0 && l.rung < static_cast<int>(day.ladder.worth.size())
+                                     ? day.ladder.worth[static_cast<std::size_t>(l.rung)]
+                                     : 0;
+            got += benefit[l.room] * seconds(day.make.segment) * worth *
+                   std::max(0.0, 1 - day.ladder.stallLoss * missing);
         } else if (l.what == "segment-lost") {
             ++result.lost;
         } else if (l.what == "gap") {
             ++result.gaps;
         }
     }
+    result.quality = wanted > 0 ? got / wanted : 0;
     result.paidSubs = paidSubs.size();
     result.service = benefitAsked > 0 ? benefitServed / benefitAsked : 0;
     for (auto& [room, h] : times) {
@@ -499,8 +512,8 @@
         << " connections of asks broke or ran out, those of killed fronts among them)\npaid set-ups "
         << r.paidSetUps << " over paid subscriptions played " << r.paidSubs << "\nservice " << std::fixed;
     out.precision(3);
-    out << r.service << ", segments " << r.segments << ", lost " << r.lost << ", gaps " << r.gaps
-        << ", CPU of all fronts " << r.frontCpu << " s\n";
+    out << r.service << ", quality " << r.quality << ", segments " << r.segments << ", lost " << r.lost
+        << ", gaps " << r.gaps << ", CPU of all fronts " << r.frontCpu << " s\n";
     for (const auto& [room, t] : r.toAnswer)
         out << "time to answer, " << room << ": p50 " << t.p50 / 1000 << " ms, p99 " << t.p99 / 1000
             << " ms, max " << t.max / 1000 << " ms (" << t.count << ")\n";
--- a/src/rehearse/drill.hpp
+++ b/src/rehearse/drill.hpp
@@ -17,6 +17,9 @@
     std::uint64_t asked = 0, played = 0, throttled = 0, terminated = 0, never = 0, twice = 0;
     std::uint64_t paidSubs = 0, paidSetUps = 0, excused = 0, segments = 0, lost = 0, gaps = 0;
     double service = 0;  // benefit answered within the join objective over benefit asked, first tries
+    // Of the benefit of all that players wanted to watch (until the day's end), what came: segments weighed
+    // by the worth of their rung, less the stall loss for each point by which they came too slowly.
+    double quality = 0;
     struct Times {
         Micros p50 = 0, p99 = 0, max = 0;
         std::uint64_t count = 0;
--- /dev/null
+++ b/src/sip/overload.hpp
@@ -0,0 +1,49 @@
+// Overload control between SIP hops (RFC 7339, loss based; RFC 7415, rate based): what this server tells
+// those who send to it, and what it turns away itself from those who don't listen. Decides only: no I/O, no
+// clock.
+//
+// The measure is the wait: how long a new INVITE stands before the module is asked, and how much of what may
+// wait is taken. Over the target, the share to be shed rises; under it, it falls slowly, so that it settles
+// without swinging.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "model/ids.hpp"
+
+namespace valekeel::sip {
+
+struct OverloadTerms {
+    double targetFill = 0.5;       // of what may wait, at which shedding begins
+    Micros every = 200'000;        // between looks
+    Micros validFor = 1'000'000;   // what is told holds so long (oc-validity)
+    double most = 0.95;            // never all: some must come for it to be seen that it is over
+    double ratePerSecond = 1'000;  // what is told to rate-based clients at no load
+};
+
+class Overload {
+  public:
+    explicit Overload(const OverloadTerms& terms) : terms_(terms) {}
+
+    // What was seen since the last look: how full the waiting room is, new INVITEs that came, and those that
+    // the front brought to an end with a placement or a reasoned refusal.
+    void look(Micros now, double fill, std::uint64_t came, std::uint64_t served);
+    // The share of new INVITEs to be shed, 0 to 1.
+    double loss() const { return loss_; }
+    double rate() const { return rate_; }
+    // Whether this new INVITE is shed here. `draw` in 0 to 1; `listens`: its Via offered oc, so its sender
+    // sheds by itself, and only what is over twice the bound is shed here too. Emergencies are never shed.
+    bool shed(double draw, bool listens, bool emergency, double fill) const;
+    // Parameters for the topmost Via of an answer, to one that offered oc; empty if it named no algorithm of
+    // ours.
+    std::string viaParameters(const std::string& algorithms) const;
+
+  private:
+    OverloadTerms terms_;
+    double loss_ = 0, rate_ = 1e9;
+    Micros lookedAt_ = 0;
+    std::uint64_t sequence_ = 0;
+};
+
+}  // namespace valekeel::sip
--- a/src/standins/box.cpp
+++ b/src/standins/box.cpp
@@ -233,6 +233,12 @@
         }
         return exchange.respond(204, {}, "");
     }
+    if (path.compare(0, 5, "/sub/") == 0) {  // still held?
+        const auto it = subs_.find(path.substr(5));
+        if (it == subs_.end()) return exchange.respond(410, fields("m", 0, false), "");
+        it->second.heardAt = fleet_.net_.now();
+        return exchange.respond(204, fields("m", it->second.rung, false), "");
+    }
     if (path.compare(0, 6, "/talk/") != 0) return exchange.respond(404, {}, "");
     const auto slash = path.find('/', 6);
     if (slash == std::string::npos) return exchange.respond(404, {}, "");
--- a/src/standins/ledger.cpp
+++ b/src/standins/ledger.cpp
@@ -18,6 +18,7 @@
         text("sub", l.sub);
         text("room", l.room);
         text("title", l.title);
+        text("face", l.face);
         const auto number = [&](const char* key, int v, int none) {
             if (v != none) j[key] = v;
         };
@@ -47,6 +48,7 @@
         l.sub = j.value("sub", "");
         l.room = j.value("room", "");
         l.title = j.value("title", "");
+        l.face = j.value("face", "");
         l.box = j.value("box", -1);
         l.player = j.value("player", -1);
         l.rung = j.value("rung", -1);
--- a/src/standins/ledger.hpp
+++ b/src/standins/ledger.hpp
@@ -14,6 +14,7 @@
     Micros at = 0;     // monotonic, one clock for all on this machine
     std::string what;  // see each stand-in
     std::string trace, front, sub, room, title;
+    std::string face;  // "sip" for callers
     int box = -1, player = -1, rung = -1, join = -1, status = 0, attempt = 0;
     double number = 0;
 };
--- a/src/standins/player.cpp
+++ b/src/standins/player.cpp
@@ -152,6 +152,11 @@
     haveNo_ = false;
     map_.clear();
     askedAt_ = net_.now();
+    if (attempt_ == 1) {
+        Line wants = line("wants");
+        wants.number = static_cast<double>(plan_.watch);
+        ledger_.add(wants);
+    }
     Line l = line("ask");
     l.number = static_cast<double>(plan_.room.joinObjective);
     ledger_.add(l);
@@ -263,6 +268,7 @@
     } else if (state_ == State::Segment) {
         Line l = line("segment");
         l.number = static_cast<double>(net_.now() - sentAt_);
+        if (map_.compare(0, 5, "init-") == 0) l.rung = std::atoi(map_.c_str() + 5);
         ledger_.add(l);
         ++segments_;
         ++nextNo_;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -13,6 +13,7 @@
 #include "audit/audit.hpp"
 #include "loop.hpp"
 #include "rehearse/drill.hpp"
+#include "standins/caller.hpp"
 #include "standins/list.hpp"
 #include "standins/player.hpp"
 
@@ -397,6 +398,174 @@
     EXPECT_EQ(rig.count("answer"), 30);
 }
 
+// ---- callers ----
+
+struct CallRig : Rig {
+    std::vector<std::unique_ptr<standins::Caller>> callers;
+    explicit CallRig(const std::string& sip = "", int boxes = 3) : Rig(boxes) {
+        front.reset();
+        startFront(
+            "sip listen=\"127.0.0.1:0\" min-session=\"1s\" session=\"4s\" hold-every=\"300ms\" "
+            "hold-within=\"500ms\" " +
+            sip + "\n");
+    }
+    standins::Caller& call(const std::string& room, const standins::CallPlan& how = {},
+                           const standins::Weather& weather = {}) {
+        standins::CallPlan plan = how;
+        plan.title = plan.title.empty() ? "t" : plan.title;
+        plan.room = room;
+        plan.timeout = 1'500'000;
+        ++active;
+        const int number = 1'000 + static_cast<int>(callers.size());
+        callers.push_back(std::make_unique<standins::Caller>(net, number, front->sip()->at(), "a", plan,
+                                                             weather, static_cast<std::uint64_t>(number),
+                                                             ledger, [this] { --active; }));
+        callers.back()->start();
+        return *callers.back();
+    }
+    bool quiet(Micros atMost = 10 * kSecond) {
+        return until([&] { return front->sip()->calls() == 0 && front->core().held() == 0; }, atMost);
+    }
+};
+
+TEST(Sip, ACallIsPlacedHeardAndGivenBack) {
+    CallRig rig;
+    auto& caller = rig.call("paid");
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(caller.lastFinal(), 200);
+    EXPECT_EQ(rig.count("charged"), 1);
+    ASSERT_TRUE(rig.quiet());
+    ASSERT_TRUE(rig.until([&] { return rig.count("release") == 1; }));
+    rig.expectRules();
+}
+
+TEST(Sip, SeatsAndRefusalsAreTheSameForBothFaces) {
+    CallRig rig;
+    rig.play("paid", 800'000);
+    for (int i = 0; i < 4; ++i) rig.call("paid");
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("answer", 200), 3);
+    EXPECT_EQ(rig.count("answer", 486) + rig.count("answer", 503), 2);
+    rig.expectRules();
+}
+
+TEST(Sip, WhatIsWrongWithACallIsSaid) {
+    CallRig rig;
+    standins::CallPlan plan;
+    plan.title = "none";
+    EXPECT_EQ(
+        (rig.call("open", plan), rig.until([&] { return rig.active == 0; }), rig.callers.back()->lastFinal()),
+        404);
+    plan = {};
+    plan.more = "Require: magic\r\n";
+    EXPECT_EQ(
+        (rig.call("open", plan), rig.until([&] { return rig.active == 0; }), rig.callers.back()->lastFinal()),
+        420);
+    plan.more = "Session-Expires: 0\r\n";
+    EXPECT_EQ(
+        (rig.call("open", plan), rig.until([&] { return rig.active == 0; }), rig.callers.back()->lastFinal()),
+        422);
+    EXPECT_EQ(
+        (rig.call("nowhere"), rig.until([&] { return rig.active == 0; }), rig.callers.back()->lastFinal()),
+        404);
+    EXPECT_EQ(rig.front->core().counts().asked, 0u);
+}
+
+TEST(Sip, ACancelBeforeTheAnswerEndsItAndOneBehindItDoesNothing) {
+    CallRig rig;
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.answersLate = 400'000;
+    standins::CallPlan plan;
+    plan.cancelAfter = 100'000;
+    auto& early = rig.call("open", plan);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(early.lastFinal(), 487);
+    ASSERT_TRUE(rig.quiet());
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.answersLate = 0;
+    plan.cancelAfter = 500'000;
+    auto& late = rig.call("open", plan);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(late.lastFinal(), 200);
+    EXPECT_EQ(late.finals(), 1);
+    rig.expectRules();
+}
+
+TEST(Sip, APaidCallThatIsCancelledWhileItIsSetUpIsAccountedForOnce) {
+    CallRig rig;
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.setUpFactor = 15;
+    standins::CallPlan plan;
+    plan.cancelAfter = 150'000;
+    rig.call("paid", plan);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.count("charged"), 1);
+    ASSERT_TRUE(rig.quiet());
+    ASSERT_TRUE(rig.until([&] { return rig.count("release") == 1; })) << "its place is given back";
+    rig.expectRules();
+}
+
+TEST(Sip, AnAckThatNeverComesEndsTheCall) {
+    CallRig rig("t1=\"20ms\" t2=\"100ms\"");
+    standins::CallPlan plan;
+    plan.acks = false;
+    plan.refreshes = false;
+    auto& caller = rig.call("paid", plan);
+    ASSERT_TRUE(rig.until([&] { return caller.byed(); }));
+    ASSERT_TRUE(rig.quiet());
+    EXPECT_EQ(rig.front->sip()->counts().unacknowledged, 1u);
+    EXPECT_EQ(rig.count("charged"), 1);
+    rig.expectRules();
+}
+
+TEST(Sip, ACallerThatVanishedGivesItsPlaceBackByTheSessionTimer) {
+    CallRig rig;
+    standins::CallPlan plan;
+    plan.sessionExpires = 2 * kSecond;
+    plan.refreshes = false;
+    plan.says = false;
+    plan.talk = 100'000;
+    rig.call("paid", plan);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.front->sip()->calls(), 1u);
+    ASSERT_TRUE(rig.quiet());
+    EXPECT_EQ(rig.front->sip()->counts().expired, 1u);
+    standins::CallPlan stays = plan;
+    stays.refreshes = true;
+    stays.says = true;
+    stays.talk = 4 * kSecond;
+    rig.call("paid", stays);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    EXPECT_EQ(rig.front->sip()->counts().expired, 1u) << "one that refreshes stays";
+}
+
+TEST(Sip, ADyingBoxHangsItsCallsUp) {
+    CallRig rig("", 1);
+    standins::CallPlan plan;
+    plan.talk = 20 * kSecond;
+    auto& caller = rig.call("open", plan);
+    ASSERT_TRUE(rig.until([&] { return caller.lastFinal() == 200; }));
+    rig.run(100'000);
+    rig.fleet->box(0).die("died");
+    ASSERT_TRUE(rig.until([&] { return caller.byed(); }));
+    ASSERT_TRUE(rig.quiet());
+}
+
+TEST(Sip, InBadWeatherEachCallStillHasOneFinalAnswerAndNothingIsLeft) {
+    CallRig rig;
+    for (int i = 0; i < 60; ++i) {
+        standins::CallPlan plan;
+        plan.talk = 300'000;
+        plan.sessionExpires = 3 * kSecond;
+        if (i % 5 == 0) plan.cancelAfter = 60'000;
+        rig.call("open", plan, {0.1, 0.1, 200'000});
+        rig.run(10'000);
+    }
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }, 30 * kSecond));
+    EXPECT_EQ(rig.count("second-answer"), 0);
+    EXPECT_EQ(rig.count("answer"), 60);
+    ASSERT_TRUE(rig.quiet(15 * kSecond));
+    EXPECT_GT(rig.front->sip()->absorbed(), 0u);
+    rig.expectRules();
+}
+
 // ---- fronts that are deliberately broken: the audit must catch each ----
 
 // Joins any box that was ever listed, at once, and again and again, whatever the rules say.
