--- a/src/boxes/boxes.cpp
+++ b/src/boxes/boxes.cpp
@@ -132,7 +132,7 @@
             it->second.conn->abandon();
             all_.dead_.push_back(std::move(it->second.conn));
             box_->conns.erase(it);
-            all_.bury_.after(0);
+            all_.bury_.soon();
         }
         if (!box_->waiting.empty()) all_.serveWaiting(*box_);
     }
--- a/src/boxes/joins.cpp
+++ b/src/boxes/joins.cpp
@@ -81,7 +81,8 @@
     if (scribe != scribes_.end()) words = scribe->second->wordsFor(id, joinNo);
     const std::string target = "/talk/" + http::percentEncoded(words.title) + "/main.m3u8?sub=" + keyOf(id) +
                                "&room=" + http::percentEncoded(words.room) + "&rung=" + std::to_string(rung) +
-                               "&join=" + std::to_string(joinNo);
+                               "&join=" + std::to_string(joinNo) +
+                               (words.once.empty() ? "" : "&once=" + words.once);
     auto out = std::make_unique<Out>(*this, id, joinNo, target);
     out->request = boxes_.send(at, "GET", target, words.fields, paid, timeOut, *out);
     out_[id] = std::move(out);
@@ -99,7 +100,7 @@
     if (it == out_.end()) return;
     dead_.push_back(std::move(it->second));
     out_.erase(it);
-    bury_.after(0);
+    bury_.soon();
     const Meaning& meaning = meaningOf(end);
     core_->joined(id, joinNo, core::JoinOutcome{meaning.end, meaning.neverRan, took, load, meaning.name});
 }
--- a/src/boxes/joins.hpp
+++ b/src/boxes/joins.hpp
@@ -16,6 +16,7 @@
 struct JoinWords {
     std::string title, room;
     http::Fields fields;  // hints and trace, carried on
+    std::string once;     // where not empty: a box that began this once answers 409, and does not begin again
 };
 class JoinScribe {
   public:
--- a/src/faces/http/face.cpp
+++ b/src/faces/http/face.cpp
@@ -362,7 +362,7 @@
 }
 void HttpFace::bury(std::unique_ptr<Relay> relay) {
     dead_.push_back(std::move(relay));
-    bury_.after(0);
+    bury_.soon();
 }
 
 // ================= requests =================
@@ -720,7 +720,7 @@
     const auto it = viewers_.find(viewer.token);
     deadViewers_.push_back(std::move(it->second));
     viewers_.erase(it);
-    bury_.after(0);
+    bury_.soon();
     if (tellCore) core_.left(id);
     joins_.forget(id);
 }
--- a/src/faces/sip/face.cpp
+++ b/src/faces/sip/face.cpp
@@ -13,21 +13,23 @@
     return std::to_string(std::max<Micros>(1, (t + kSecond - 1) / kSecond));
 }
 
-// One verdict for each INVITE however often it is sent: the draw is made from what names it.
-double drawOf(const std::string& key, std::uint64_t salt) {
+// Of what names an INVITE, so that each copy of it comes to the same: FNV-1a, stirred.
+std::uint64_t hashOf(const std::string& key, std::uint64_t salt) {
     std::uint64_t h = 1469598103934665603ull ^ salt;
     for (const char c : key) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ull;
     h ^= h >> 33;
     h *= 0xff51afd7ed558ccdull;
-    h ^= h >> 33;
-    return static_cast<double>(h >> 11) / 9007199254740992.0;
+    return h ^ h >> 33;
+}
+double drawOf(const std::string& key, std::uint64_t salt) {
+    return static_cast<double>(hashOf(key, salt) >> 11) / 9007199254740992.0;
 }
 
 }  // namespace
 
 struct SipFace::Call {
     SubId sub;
-    std::string key, dialog, mergeKey, localTag, title;
+    std::string key, dialog, localTag, title;
     sip::Way way;
     sip::Message invite;
     sip::Offer offer;
@@ -83,7 +85,7 @@
         if (it == f.out_.end()) return;
         f.deadOut_.push_back(std::move(it->second));
         f.out_.erase(it);
-        f.bury_.after(0);
+        f.bury_.soon();
         Call* call = update ? f.bySub(id) : nullptr;
         if (!call) return;
         call->updateOut = false;
@@ -141,7 +143,7 @@
         if (it == face_.streams_.end()) return;
         face_.deadStreams_.push_back(std::move(it->second));
         face_.streams_.erase(it);
-        face_.bury_.after(0);
+        face_.bury_.soon();
     }
 
   private:
@@ -239,6 +241,7 @@
 
 void SipFace::look() {
     const double fill = static_cast<double>(gate_.held()) / static_cast<double>(gate_.bound());
+    std::erase_if(merged_, [this](const auto& m) { return !transactions_.knows(m.second); });
     overload_.look(net_.now(), fill, std::exchange(cameNow_, 0), std::exchange(servedNow_, 0));
     look_.after(terms_.overload.every);
 }
@@ -379,7 +382,8 @@
     const std::string key = sip::Transactions::keyOf(m);
     // The same call by another way (section 8.2.2.2): forked upstream, or sent from a second port.
     const std::string mergeKey = m.callId + "|" + m.from.tag + "|" + std::to_string(m.cseq);
-    if (merged_.count(mergeKey)) {
+    const auto first = merged_.find(mergeKey);
+    if (first != merged_.end() && transactions_.knows(first->second)) {
         ++counts_.merged;
         return reply(key, m, 482);
     }
@@ -431,7 +435,6 @@
     call.key = key;
     call.localTag = record::hex64(net_.draw());
     call.dialog = m.callId + "|" + call.localTag + "|" + m.from.tag;
-    call.mergeKey = mergeKey;
     call.title = m.user;
     call.way = way;
     call.offer = std::move(offer);
@@ -465,7 +468,7 @@
     });
     byKey_[key] = &call;
     byDialog_[call.dialog] = &call;
-    merged_[mergeKey] = &call;
+    merged_[mergeKey] = key;
     calls_[*id] = std::move(made);
     joins_.scribe(*id, *this);
     log_.line(record::Level::Info, net_.now(), net_.wallNow(), "asked",
@@ -645,14 +648,13 @@
     transactions_.acknowledged(call.key);  // whatever became of its 200, it is sent no more
     byKey_.erase(call.key);
     byDialog_.erase(call.dialog);
-    merged_.erase(call.mergeKey);
     call.sessionTimer->cancel();
     call.holdTimer->cancel();
     call.updateTimer->cancel();
     const auto it = calls_.find(id);
     deadCalls_.push_back(std::move(it->second));
     calls_.erase(it);
-    bury_.after(0);
+    bury_.soon();
     if (tellCore) core_.left(id);
     joins_.forget(id);
 }
@@ -666,7 +668,7 @@
 
 void SipFace::askHold(Call& call) {
     if (call.hold) deadHolds_.push_back(std::move(call.hold));
-    bury_.after(0);
+    bury_.soon();
     call.hold = std::make_unique<Hold>(*this, call.sub);
     call.hold->request = boxes_.send(call.at, "HEAD", "/sub/" + joins_.keyOf(call.sub), {}, false,
                                      terms_.holdWithin, *call.hold);
@@ -678,6 +680,9 @@
     if (!call) return words;
     words.title = call->title;
     words.room = rooms_.types[call->room.v].name;
+    // A front that was started again knows nothing of this INVITE, and its copies go on coming: the box must
+    // tell that it began this very one already.
+    if (rooms_.types[call->room.v].paid) words.once = record::hex64(hashOf(call->key, 0));
     record::TraceContext trace = call->trace;
     trace.parent = record::hex64(net_.draw() | 1);
     words.fields.add("traceparent", record::write(trace));
--- a/src/faces/sip/face.hpp
+++ b/src/faces/sip/face.hpp
@@ -123,7 +123,8 @@
     std::vector<std::unique_ptr<Stream>> deadStreams_;
     std::uint64_t nextStream_ = 1;
     std::map<SubId, std::unique_ptr<Call>> calls_;
-    std::map<std::string, Call*> byKey_, byDialog_, merged_;
+    std::map<std::string, Call*> byKey_, byDialog_;
+    std::map<std::string, std::string> merged_;  // Call-ID, tag and CSeq: the transaction that came first
     std::map<std::string, std::unique_ptr<Out>> out_;  // own requests, by branch
     std::vector<std::unique_ptr<Call>> deadCalls_;
     std::vector<std::unique_ptr<Out>> deadOut_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -330,7 +330,7 @@
     handler_.closed(conn.peer());
     dead_.push_back(std::move(it->second));  // it may be on the stack: buried a moment later
     open_.erase(it);
-    bury_.after(0);
+    bury_.soon();
     if (finishing_ && open_.empty() && idle_) std::exchange(idle_, nullptr)();
 }
 
--- a/src/list/follow.cpp
+++ b/src/list/follow.cpp
@@ -163,7 +163,7 @@
         silent_.cancel();
         if (conn_) conn_->abandon();
         dead_ = std::move(conn_);
-        bury_.after(0);
+        bury_.soon();
     }
 
     net::Net& net_;
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -103,6 +103,11 @@
     ~Timer() { cancel(); }
     void at(Micros when) { net_.wheel().add(*this, when); }
     void after(Micros wait) { at(net_.now() + wait); }
+    // At the next turn. Asked for again before that it is not put off: else what is always asked for never
+    // comes.
+    void soon() {
+        if (!linked()) after(0);
+    }
     void cancel() {
         if (linked()) net_.wheel().remove(*this);
     }
--- a/src/standins/box.cpp
+++ b/src/standins/box.cpp
@@ -135,7 +135,7 @@
     server_->stopListening();
     dying_ = std::move(server_);
     dying_->resetAll();
-    bury_.after(0);
+    bury_.soon();
 }
 
 void Box::drop(std::uint64_t key) {
@@ -144,7 +144,7 @@
     it->second->due.cancel();
     dead_.push_back(std::move(it->second));
     jobs_.erase(it);
-    bury_.after(0);
+    bury_.soon();
 }
 
 double Box::warmShare() const {
@@ -286,6 +286,14 @@
         fleet_.ledger_.add(l);
         return exchange.respond(500, fields("m", 0, false), "");
     }
+    if (const std::string once = http::queryValue(query, "once").value_or(""); !once.empty()) {
+        std::erase_if(begun_, [&](const auto& b) { return now - b.second > 60 * kSecond; });
+        if (!begun_.emplace(once, now).second) {
+            l.what = "once";
+            fleet_.ledger_.add(l);
+            return exchange.respond(409, fields("m", 0, false), "");
+        }
+    }
     const std::uint64_t key = nextJob_++;
     auto& job = jobs_[key] = std::make_unique<Job>(*this, key, exchange);
     job->kind = Job::Kind::SetUp;
--- a/src/standins/box.hpp
+++ b/src/standins/box.hpp
@@ -2,10 +2,10 @@
 // at a real rate, warm up, fall over when pushed cold, turn away when full, charge set-ups in a ledger, and
 // obey a script. A box tells its own story only: nothing here knows how a front works.
 //
-// Ledger lines of a box: "arrive" (a set-up was asked for), "unseen" (turned away before a look), "charged"
-// (it was begun: paid for from here on), "plays", "answer-lost", "error", "called-off" (the asker hung up
-// before it played), "release", "expired", "gone" (with its box), "segment", "started" (number: places),
-// "fell", "died".
+// Ledger lines of a box: "arrive" (a set-up was asked for), "unseen" (turned away before a look), "once"
+// (begun before: not again), "charged" (it was begun: paid for from here on), "plays", "answer-lost",
+// "error", "called-off" (the asker hung up before it played), "release", "expired", "gone" (with its box),
+// "segment", "started" (number: places), "fell", "died".
 #pragma once
 
 #include <deque>
@@ -104,6 +104,7 @@
     int setUpsNow_ = 0;
     std::uint64_t nextJob_ = 1;
     std::deque<Micros> arrivals_;
+    std::map<std::string, Micros> begun_;                     // by `once`: kept for a minute
     std::deque<std::tuple<Micros, double, double>> reports_;  // link and uplink use, as they were
     net::Timer bury_;
 };
--- a/src/standins/caller.cpp
+++ b/src/standins/caller.cpp
@@ -156,7 +156,7 @@
     through([this, text = std::string(bytes)] { heard(text); });
 }
 
-void Caller::heard(const std::string& text) {
+void Caller::heard(std::string text) {
     if (text.compare(0, 8, "SIP/2.0 ") != 0) {  // a request of the front's
         const std::string method = text.substr(0, text.find(' '));
         if (method == "ACK") return;
@@ -182,7 +182,7 @@
     }
     if (cseq.find("INVITE") == std::string::npos) return;
     if (status < 200) {
-        provisional_ = true;
+        provisional_ = !plan_.loses100;
         return;
     }
     const std::string to = header(text, "To");
--- a/src/standins/caller.hpp
+++ b/src/standins/caller.hpp
@@ -24,6 +24,7 @@
     std::string title, room;
     Micros timeout = 5'000'000, talk = 1'000'000;
     Micros cancelAfter = 0;                           // 0: never
+    bool loses100 = false;                            // every provisional answer to it is lost
     bool acks = true, refreshes = true, says = true;  // says: BYE at the end
     Micros sessionExpires = 0;
     std::string more;  // further header lines
@@ -41,7 +42,7 @@
 
   private:
     void received(const net::Endpoint&, std::string_view) override;
-    void heard(const std::string&);
+    void heard(std::string);  // by value: the timer that brought it may be gone meanwhile
     void put(const std::string&);
     void through(std::function<void()>);
     std::string request(const std::string& method, std::uint32_t cseq, const std::string& branch,
--- a/src/standins/list.cpp
+++ b/src/standins/list.cpp
@@ -17,7 +17,7 @@
         if (it == list.streams_.end()) return;
         list.dead_.push_back(std::move(it->second));
         list.streams_.erase(it);
-        list.bury_.after(0);
+        list.bury_.soon();
     }
     void event(const std::string& type, std::int64_t version, const std::string& data,
                const std::vector<ListedBox>& boxes) {
@@ -51,7 +51,10 @@
       ledger_(ledger),
       beat_(net,
             [this] {
-                for (auto& [key, stream] : streams_)
+                // One whose front is gone leaves the table as it is written to.
+                std::vector<Stream*> all;
+                for (auto& [key, stream] : streams_) all.push_back(stream.get());
+                for (Stream* stream : all)
                     if (stream->exchange) stream->exchange->send(": still here\n\n");
                 beat_.after(kSecond);
             }),
--- a/src/standins/player.cpp
+++ b/src/standins/player.cpp
@@ -61,7 +61,7 @@
     if (conn_ && conn_->spokeUnasked()) ledger_.add(line("second-answer"));
     if (conn_) conn_->abandon();
     dead_ = std::move(conn_);
-    bury_.after(0);
+    bury_.soon();
 }
 
 http::Fields Player::fields(const char* ot, std::string& target) {
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -536,6 +536,23 @@
     EXPECT_EQ(rig.front->sip()->counts().expired, 1u) << "one that refreshes stays";
 }
 
+// Nothing is known of the INVITE any more; the box that began it is the one who can tell.
+TEST(Sip, APaidInviteSentAgainAfterARestartIsNotSetUpTwice) {
+    CallRig rig("", 1);
+    rig.fleet->box(0).trouble.setUpFactor = 20;
+    standins::CallPlan plan;
+    plan.loses100 = true;
+    auto& caller = rig.call("paid", plan);
+    ASSERT_TRUE(rig.until([&] { return rig.count("charged") == 1; }));
+    const std::string at = net::text(rig.front->sip()->at());
+    rig.front.reset();
+    rig.startFront("sip listen=\"" + at + "\"\n");
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }, 20 * kSecond));
+    EXPECT_EQ(rig.count("once"), 1);
+    EXPECT_EQ(rig.count("charged"), 1);
+    EXPECT_EQ(caller.lastFinal(), 500);
+}
+
 TEST(Sip, ADyingBoxHangsItsCallsUp) {
     CallRig rig("", 1);
     standins::CallPlan plan;
--- a/tests/list_test.cpp
+++ b/tests/list_test.cpp
@@ -165,6 +165,23 @@
     ASSERT_TRUE(rig.until([&] { return rig.hears.last() == "list 3"; }));
 }
 
+TEST(Stream, FollowersThatDieBetweenTwoBeatsAreNoTrouble) {
+    StreamRig rig;
+    std::vector<std::unique_ptr<Hears>> others;
+    std::vector<std::unique_ptr<Follower>> followers;
+    for (int i = 0; i < 8; ++i) {
+        others.push_back(std::make_unique<Hears>());
+        followers.push_back(
+            followStream(rig.net, rig.server.at(), "/boxes?front=b", {"small"}, {}, {}, *others.back()));
+        followers.back()->follow();
+    }
+    ASSERT_TRUE(rig.until([&] { return others.back()->last() == "list 2"; }));
+    followers.clear();
+    rig.run(1'300'000);
+    rig.put(9);
+    EXPECT_TRUE(rig.until([&] { return rig.hears.last() == "change 1"; }));
+}
+
 TEST(Stream, SilenceIsAFailure) {
     Loop loop;
     struct Mute : http::Handler, http::ExchangeUser {
