--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -57,7 +57,7 @@
     const auto document = settings::Document::fromFile(file);
     front::Front::check(document);
     if (print)
-        std::cout << settings::printKdl(document.nodes());
+        std::cout << document.inForce();
     else
         std::cout << file << ": in order\n";
     return kDone;
@@ -299,7 +299,7 @@
 
     auto* c = app.add_subcommand("check", "check settings, and start nothing");
     c->add_option("settings", file, "in KDL")->required();
-    c->add_flag("--print", print, "print back what was read");
+    c->add_flag("--print", print, "print what is in force, defaults and all");
     c->footer("Example: valekeel check deploy/example/site.kdl");
     c->callback([&] { chosen = [&] { return check(file, print); }; });
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -65,40 +65,43 @@
     } else {
         top.wrong("a node 'http' is expected: http listen=\"127.0.0.1:8080\"");
     }
-    if (auto node = top.one("hints")) {
-        t.hints.fieldBytes = static_cast<std::size_t>(node->whole("field-bytes", 64, 100'000, 4'096));
-        t.hints.keys = static_cast<std::size_t>(node->whole("keys", 1, 1'000, 64));
-        t.hints.customBytes = static_cast<std::size_t>(node->whole("custom-bytes", 1, 10'000, 128));
-        node->finish();
+    {
+        Cursor node = top.here("hints");
+        t.hints.fieldBytes = static_cast<std::size_t>(node.whole("field-bytes", 64, 100'000, 4'096));
+        t.hints.keys = static_cast<std::size_t>(node.whole("keys", 1, 1'000, 64));
+        t.hints.customBytes = static_cast<std::size_t>(node.whole("custom-bytes", 1, 10'000, 128));
+        node.finish();
     }
-    if (auto node = top.one("viewers")) {
+    {
+        Cursor node = top.here("viewers");
         faces::HttpTerms& v = t.terms;
-        v.window.ahead = node->time("ahead", 0, kHour, v.window.ahead);
-        v.window.behind = node->time("behind", 0, kHour, v.window.behind);
-        v.silentAfter = node->time("silent-after", 100'000, kHour, v.silentAfter);
-        v.closedAfter = node->time("closed-after", 0, kHour, v.closedAfter);
-        v.pausedAfter = node->time("paused-after", 100'000, kHour, v.pausedAfter);
-        v.segmentWithin = node->time("segment-within", 100'000, kHour, v.segmentWithin);
-        v.fetchesEach = static_cast<std::size_t>(node->whole("fetches-each", 1, 100, 4));
-        v.relayBytes = static_cast<std::size_t>(node->whole("relay-bytes", 4'096, 100'000'000, 131'072));
-        v.cachedPlaylists = static_cast<std::size_t>(node->whole("cached-playlists", 1, 1'000'000, 512));
-        v.retryWhenFull = node->time("retry-when-full", kSecond, kHour, v.retryWhenFull);
-        t.core.subs = static_cast<std::size_t>(node->whole("at-most", 1, 10'000'000, 100'000));
-        t.core.answerMargin = node->time("answer-margin", 1'000, kSecond, t.core.answerMargin);
-        t.deliveryWindow = node->time("delivery-window", 100'000, 60 * kSecond, t.deliveryWindow);
-        node->finish();
+        v.window.ahead = node.time("ahead", 0, kHour, v.window.ahead);
+        v.window.behind = node.time("behind", 0, kHour, v.window.behind);
+        v.silentAfter = node.time("silent-after", 100'000, kHour, v.silentAfter);
+        v.closedAfter = node.time("closed-after", 0, kHour, v.closedAfter);
+        v.pausedAfter = node.time("paused-after", 100'000, kHour, v.pausedAfter);
+        v.segmentWithin = node.time("segment-within", 100'000, kHour, v.segmentWithin);
+        v.fetchesEach = static_cast<std::size_t>(node.whole("fetches-each", 1, 100, 4));
+        v.relayBytes = static_cast<std::size_t>(node.whole("relay-bytes", 4'096, 100'000'000, 131'072));
+        v.cachedPlaylists = static_cast<std::size_t>(node.whole("cached-playlists", 1, 1'000'000, 512));
+        v.retryWhenFull = node.time("retry-when-full", kSecond, kHour, v.retryWhenFull);
+        t.core.subs = static_cast<std::size_t>(node.whole("at-most", 1, 10'000'000, 100'000));
+        t.core.answerMargin = node.time("answer-margin", 1'000, kSecond, t.core.answerMargin);
+        t.deliveryWindow = node.time("delivery-window", 100'000, 60 * kSecond, t.deliveryWindow);
+        node.finish();
     }
     for (const Micros timeout : t.rooms.clientTimeouts)
         if (timeout <= 2 * t.core.answerMargin)
             top.wrong("a client timeout of a room type is expected to be over twice viewers answer-margin=");
-    if (auto node = top.one("boxes")) {
+    {
+        Cursor node = top.here("boxes");
         boxes::BoxLimits& b = t.boxes;
-        b.connections = static_cast<std::size_t>(node->whole("connections", 1, 100'000, 256));
-        b.waiting = static_cast<std::size_t>(node->whole("waiting", 0, 1'000'000, 1'024));
-        b.connectWithin = node->time("connect-within", 1'000, 60 * kSecond, b.connectWithin);
-        b.keepIdle = node->time("keep-idle", 0, kHour, b.keepIdle);
-        b.sureFor = node->time("sure-for", 0, kHour, b.sureFor);
-        node->finish();
+        b.connections = static_cast<std::size_t>(node.whole("connections", 1, 100'000, 256));
+        b.waiting = static_cast<std::size_t>(node.whole("waiting", 0, 1'000'000, 1'024));
+        b.connectWithin = node.time("connect-within", 1'000, 60 * kSecond, b.connectWithin);
+        b.keepIdle = node.time("keep-idle", 0, kHour, b.keepIdle);
+        b.sureFor = node.time("sure-for", 0, kHour, b.sureFor);
+        node.finish();
     }
     t.core.reportEvery = t.tidings.every;
 }
@@ -145,13 +148,12 @@
 }
 
 void readAdmission(Cursor& top, Told& t) {
-    auto node = top.one("admission");
-    if (!node) return;
-    t.gateWaiting = static_cast<std::size_t>(node->whole("waiting", 1, 1'000'000, 5'000));
-    t.gateConnections = static_cast<std::size_t>(node->whole("connections-each", 1, 1'000'000, 2'000));
-    t.prefix4 = static_cast<int>(node->whole("prefix4", 1, 32, 24));
-    t.prefix6 = static_cast<int>(node->whole("prefix6", 1, 128, 56));
-    for (Cursor& network : node->each("network")) {
+    Cursor node = top.here("admission");
+    t.gateWaiting = static_cast<std::size_t>(node.whole("waiting", 1, 1'000'000, 5'000));
+    t.gateConnections = static_cast<std::size_t>(node.whole("connections-each", 1, 1'000'000, 2'000));
+    t.prefix4 = static_cast<int>(node.whole("prefix4", 1, 32, 24));
+    t.prefix6 = static_cast<int>(node.whole("prefix6", 1, 128, 56));
+    for (Cursor& network : node.each("network")) {
         const std::string text = network.argument("its prefix");
         const auto prefix = admission::prefixOf(text);
         if (!prefix)
@@ -161,7 +163,7 @@
         t.networks.emplace_back(*prefix, network.text("member"));
         network.finish();
     }
-    node->finish();
+    node.finish();
 }
 
 Told readAll(const settings::Document& document) {
@@ -188,12 +190,11 @@
     readSip(top, t);
     readList(top, t);
     readAdmission(top, t);
-    if (auto log = top.one("log")) {
-        t.logFile = log->text("file", "-");
-        t.logLevel = record::levelOf(log->choice("level", {"debug", "info", "warning", "error"}, "info"));
-        t.logWarnings = static_cast<int>(log->whole("warnings-a-second", 1, 100'000, 20));
-        log->finish();
-    }
+    Cursor log = top.here("log");
+    t.logFile = log.text("file", "-");
+    t.logLevel = record::levelOf(log.choice("level", {"debug", "info", "warning", "error"}, "info"));
+    t.logWarnings = static_cast<int>(log.whole("warnings-a-second", 1, 100'000, 20));
+    log.finish();
     top.finish();
     return t;
 }
--- a/src/settings/reading.cpp
+++ b/src/settings/reading.cpp
@@ -90,6 +90,22 @@
     throw Wrong(file_, text_, at, what);
 }
 
+Node Document::withDefaults(const Node& node) const {
+    Node out = node;
+    out.children.clear();
+    for (const Node& child : node.children) out.children.push_back(withDefaults(child));
+    if (const auto it = taken_->defaults.find(&node); it != taken_->defaults.end())
+        out.properties.insert(out.properties.end(), it->second.begin(), it->second.end());
+    return out;
+}
+
+std::string Document::inForce() const {
+    std::vector<Node> all;
+    for (const Node& node : nodes_) all.push_back(withDefaults(node));
+    for (const Node& node : taken_->absent) all.push_back(withDefaults(node));
+    return printKdl(all);
+}
+
 Cursor::Cursor(const Document& document) : document_(&document) {}
 Cursor::Cursor(const Document& document, const Node& node) : document_(&document), node_(&node) {}
 
@@ -127,6 +143,22 @@
     return std::make_unique<Cursor>(std::move(all.front()));
 }
 
+Cursor Cursor::here(std::string_view name) {
+    if (auto found = one(name)) return std::move(*found);
+    Node& node = document_->taken_->absent.emplace_back();
+    node.name = name;
+    if (node_) node.at = node_->at;
+    return Cursor(*document_, node);
+}
+
+void Cursor::defaulted(std::string_view name, decltype(Value::is) is) const {
+    if (!node_) return;
+    auto& all = document_->taken_->defaults[node_];
+    for (const auto& [known, value] : all)
+        if (known == name) return;
+    all.emplace_back(name, Value{std::nullopt, std::move(is), {}});
+}
+
 Cursor Cursor::need(std::string_view name) {
     auto found = one(name);
     if (!found)
@@ -161,7 +193,9 @@
     return *s;
 }
 std::string Cursor::text(std::string_view name, std::string otherwise) {
-    return find(name) ? text(name) : otherwise;
+    if (find(name)) return text(name);
+    defaulted(name, otherwise);
+    return otherwise;
 }
 
 double Cursor::number(std::string_view name, double least, double most) {
@@ -174,7 +208,9 @@
     return n->value;
 }
 double Cursor::number(std::string_view name, double least, double most, double otherwise) {
-    return find(name) ? number(name, least, most) : otherwise;
+    if (find(name)) return number(name, least, most);
+    defaulted(name, Number{plain(otherwise), otherwise, {}});
+    return otherwise;
 }
 
 std::int64_t Cursor::whole(std::string_view name, std::int64_t least, std::int64_t most) {
@@ -188,12 +224,17 @@
 }
 std::int64_t Cursor::whole(std::string_view name, std::int64_t least, std::int64_t most,
                            std::int64_t otherwise) {
-    return find(name) ? whole(name, least, most) : otherwise;
+    if (find(name)) return whole(name, least, most);
+    defaulted(name, Number{std::to_string(otherwise), static_cast<double>(otherwise), otherwise});
+    return otherwise;
 }
 
 bool Cursor::flag(std::string_view name, bool otherwise) {
     const Value* v = find(name);
-    if (!v) return otherwise;
+    if (!v) {
+        defaulted(name, otherwise);
+        return otherwise;
+    }
     const bool* b = std::get_if<bool>(&v->is);
     if (!b) document_->wrong(v->at, std::string(name) + " is expected to be #true or #false");
     return *b;
@@ -213,7 +254,9 @@
     return *t;
 }
 Micros Cursor::time(std::string_view name, Micros least, Micros most, Micros otherwise) {
-    return find(name) ? time(name, least, most) : otherwise;
+    if (find(name)) return time(name, least, most);
+    defaulted(name, shownTime(otherwise));
+    return otherwise;
 }
 
 net::Endpoint Cursor::address(std::string_view name) {
@@ -230,7 +273,10 @@
 std::string Cursor::choice(std::string_view name, const std::vector<std::string>& among,
                            const std::string& otherwise) {
     const Value* v = find(name);
-    if (!v) return otherwise;
+    if (!v) {
+        defaulted(name, otherwise);
+        return otherwise;
+    }
     const std::string is = text(name);
     if (std::find(among.begin(), among.end(), is) != among.end()) return is;
     std::string all;
--- a/src/settings/reading.hpp
+++ b/src/settings/reading.hpp
@@ -2,7 +2,9 @@
 // knows what was asked for. What nobody asked for is refused, with the nearest known name.
 #pragma once
 
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -23,8 +25,17 @@
     const std::vector<Node>& nodes() const { return nodes_; }
     const std::string& file() const { return file_; }
     [[noreturn]] void wrong(Place, const std::string& what) const;
+    // What is in force once all of it was read: what stands there, and each default that was taken beside it.
+    std::string inForce() const;
 
   private:
+    friend class Cursor;
+    struct Taken {                // by reading, which is const for all else
+        std::deque<Node> absent;  // nodes that were read and do not stand there
+        std::map<const Node*, std::vector<std::pair<std::string, Value>>> defaults;
+    };
+    Node withDefaults(const Node&) const;
+    std::shared_ptr<Taken> taken_ = std::make_shared<Taken>();
     std::string file_, text_;
     std::vector<Node> nodes_;
 };
@@ -38,6 +49,8 @@
 
     // Children by name. one(): none or one; a second is refused.
     std::unique_ptr<Cursor> one(std::string_view name);
+    // The same of one that may be left out: then all of it is read as its defaults.
+    Cursor here(std::string_view name);
     Cursor need(std::string_view name);
     std::vector<Cursor> each(std::string_view name);
 
@@ -69,6 +82,7 @@
     const std::string& name() const;
 
   private:
+    void defaulted(std::string_view name, decltype(Value::is)) const;
     const Value* find(std::string_view name);
     const Value& needed(std::string_view name);
     const std::vector<Node>& children() const;
--- a/src/settings/site.cpp
+++ b/src/settings/site.cpp
@@ -111,13 +111,12 @@
 
 Tidings readTidings(Cursor& top) {
     Tidings out;
-    auto node = top.one("tidings");
+    Cursor node = top.here("tidings");
     out.late = 100'000;
     out.every = kSecond;
-    if (!node) return out;
-    out.late = node->time("late", 0, 60 * kSecond, out.late);
-    out.every = node->time("every", 100'000, 60 * kSecond, out.every);
-    node->finish();
+    out.late = node.time("late", 0, 60 * kSecond, out.late);
+    out.every = node.time("every", 100'000, 60 * kSecond, out.every);
+    node.finish();
     return out;
 }
 
@@ -126,12 +125,11 @@
     out.joinsEach = 3;
     out.comeBack = true;
     out.comeBackAtMost = 2 * kSecond;
-    auto node = top.one("allowed");
-    if (!node) return out;
-    out.joinsEach = static_cast<int>(node->whole("joins", 1, 100, out.joinsEach));
-    out.comeBackAtMost = node->time("come-back-at-most", 0, kLong, out.comeBackAtMost);
+    Cursor node = top.here("allowed");
+    out.joinsEach = static_cast<int>(node.whole("joins", 1, 100, out.joinsEach));
+    out.comeBackAtMost = node.time("come-back-at-most", 0, kLong, out.comeBackAtMost);
     out.comeBack = out.comeBackAtMost > 0;
-    node->finish();
+    node.finish();
     return out;
 }
 
