--- a/src/sip/message.cpp
+++ b/src/sip/message.cpp
@@ -84,7 +84,8 @@
     if (from->url)
         out.uri = written(from->url, [](const osip_uri_t* u, char** to) { return osip_uri_to_str(u, to); });
     osip_generic_param_t* tag = nullptr;
-    osip_from_get_tag(from, &tag);
+    char name[] = "tag";  // osip's own macro hands a literal to a char*, which clang refuses
+    osip_generic_param_get_byname(&from->gen_params, name, &tag);
     if (tag) out.tag = textOf(tag->gvalue);
     return out;
 }
