What both faces do alike is written once; members that nothing reads are gone

Need: reading the whole change, the HTTP and SIP faces bounded a viewer's best rung, built a wish and rounded Retry-After each in a copy of their own; hints' drops were counted in two loops; some members were set and never read. Change: faces/asking.hpp, HttpFace::countDropped(), Gate::fill(); dead members removed in faces, boxes, KDL reader, stand-ins. Behaviour is as it was.

--- a/src/admission/gate.hpp
+++ b/src/admission/gate.hpp
@@ -37,6 +37,7 @@
 
     std::size_t held() const { return held_; }
     std::size_t bound() const { return waiting_; }
+    double fill() const { return static_cast<double>(held_) / static_cast<double>(waiting_); }
     std::size_t holding() const { return holding_; }  // networks that hold something
     std::size_t networks() const { return networks_.size(); }
 
--- a/src/boxes/boxes.hpp
+++ b/src/boxes/boxes.hpp
@@ -22,7 +22,6 @@
     Micros connectWithin = 250'000;
     Micros keepIdle = 20'000'000;
     Micros sureFor = 1'000'000;
-    std::size_t answerBytes = 262'144;  // of a playlist; segments are streamed
 };
 
 // One request to a box, until it is done. Deleting it calls it off.
--- /dev/null
+++ b/src/faces/asking.hpp
@@ -0,0 +1,31 @@
+// What all faces do alike when a subscription is asked for.
+#pragma once
+
+#include <algorithm>
+#include <string>
+
+#include "settings/site.hpp"
+
+namespace valekeel::faces {
+
+// Whole seconds, rounded up, one at least: as Retry-After and the SIP timers' headers want them.
+inline std::string wholeSecondsUp(Micros t) {
+    return std::to_string(std::max<Micros>(1, (t + kSecond - 1) / kSecond));
+}
+
+// For a viewer that can use so many kbit/s: the best rung under that, never under the room type's floor.
+inline Wish wishFor(RoomTypeId room, const std::string& title, const settings::Talk& talk,
+                    const Ladder& ladder, const RoomType& type, double kbits) {
+    Wish wish;
+    wish.room = room;
+    wish.title = TitleId{title};
+    wish.firstCell = talk.firstCell;
+    wish.holders = talk.holders;
+    wish.maxRung = static_cast<int>(ladder.kb.size()) - 1;
+    while (wish.maxRung > type.floor &&
+           ladder.kb[static_cast<std::size_t>(wish.maxRung)] * type.rateFactor * 8 > kbits * 1.001)
+        --wish.maxRung;
+    return wish;
+}
+
+}  // namespace valekeel::faces
--- a/src/faces/http/face.cpp
+++ b/src/faces/http/face.cpp
@@ -10,10 +10,6 @@
 
 constexpr std::string_view kPlaylistType = "application/vnd.apple.mpegurl";
 
-std::string wholeSecondsUp(Micros t) {
-    return std::to_string(std::max<Micros>(1, (t + kSecond - 1) / kSecond));
-}
-
 }  // namespace
 
 struct HttpFace::Viewer {
@@ -21,7 +17,7 @@
     SubId sub;
     RoomTypeId room;
     std::uint32_t network = 0;
-    bool inGate = false, playing = false, paused = false, changed = false;
+    bool inGate = false, playing = false, paused = false;
     record::TraceContext trace;
     hints::Cmcd hints;
     SfuId at;
@@ -147,7 +143,6 @@
         wanted_ = range ? 206 : 200;
         sentAt_ = face_.net_.now();
         path_ = path;
-        range_ = range;
         const std::string sub =
             (path.find('?') == std::string::npos ? "?sub=" : "&sub=") + face_.joins_.keyOf(sub_);
         request_ =
@@ -310,7 +305,6 @@
     http::Exchange* exchange_;
     std::unique_ptr<boxes::Request> request_, finished_;
     std::string path_, body_;
-    std::optional<hls::Range> range_;
     bool playlist_ = false, begun_ = false, held_ = false, again_ = false;
     int status_ = 0, wanted_ = 200;
     std::uint64_t length_ = 0, got_ = 0;
@@ -424,13 +418,17 @@
     refuse(exchange, 404, "nothing lies here");
 }
 
+void HttpFace::countDropped(const hints::CmcdReader& reader) {
+    for (std::size_t i = 0; i < hints::kDroppedKinds; ++i) hintsDropped_[i] += reader.dropped()[i];
+}
+
 hints::Cmcd HttpFace::hintsOf(const http::RequestHead& head) {
     hints::CmcdReader reader(hintLimits_);
     for (std::size_t i = 0; i < hints::kCmcdHeaders.size(); ++i)
         if (const auto value = head.fields.joined(hints::kCmcdHeaders[i])) reader.header(i, *value);
     if (const auto value = http::queryValue(head.query(), "CMCD")) reader.query(*value);
     const hints::Cmcd out = reader.done();
-    for (std::size_t i = 0; i < hints::kDroppedKinds; ++i) hintsDropped_[i] += reader.dropped()[i];
+    countDropped(reader);
     return out;
 }
 
@@ -438,7 +436,7 @@
     hints::CmcdReader reader(hintLimits_);
     reader.json(exchange.body());
     const hints::Cmcd got = reader.done();
-    for (std::size_t i = 0; i < hints::kDroppedKinds; ++i) hintsDropped_[i] += reader.dropped()[i];
+    countDropped(reader);
     if (got.sid)
         for (auto& [token, viewer] : viewers_)
             if (viewer->hints.sid == got.sid) heardFrom(*viewer, got);
@@ -488,23 +486,14 @@
         return refuse(exchange, 503, "too many ask at once", terms_.retryWhenFull);
     }
 
-    Wish wish;
-    wish.room = *room;
-    wish.title = TitleId{title};
-    wish.firstCell = talk->second.firstCell;
-    wish.holders = talk->second.holders;
     const RoomType& type = rooms_.types[room->v];
-    const int top = static_cast<int>(ladder_.kb.size()) - 1;
-    wish.maxRung = top;
     // The best rung of the device (tb), what the player thinks enough (rtp), and what its own link was seen
     // to carry (mtp, which is noisy: half as much again is allowed). All in kbit/s.
     double kbits = 1e18;
     if (hint.tb && *hint.tb > 0) kbits = std::min(kbits, static_cast<double>(*hint.tb));
     if (hint.rtp && *hint.rtp > 0) kbits = std::min(kbits, static_cast<double>(*hint.rtp));
     if (hint.mtp && *hint.mtp > 0) kbits = std::min(kbits, 1.5 * static_cast<double>(*hint.mtp));
-    while (wish.maxRung > type.floor &&
-           ladder_.kb[static_cast<std::size_t>(wish.maxRung)] * type.rateFactor * 8 > kbits * 1.001)
-        --wish.maxRung;
+    Wish wish = wishFor(*room, title, talk->second, ladder_, type, kbits);
     for (const auto& [key, value] : hint.custom) {
         if (key != "org.valekeel-watch") continue;
         if (const auto* whole = std::get_if<std::int64_t>(&value); whole && *whole > 0 && *whole < 100'000)
--- a/src/faces/http/face.hpp
+++ b/src/faces/http/face.hpp
@@ -17,6 +17,7 @@
 #include "admission/gate.hpp"
 #include "boxes/joins.hpp"
 #include "core/core.hpp"
+#include "faces/asking.hpp"
 #include "faces/http/viewer.hpp"
 #include "hints/cmcd.hpp"
 #include "http/server.hpp"
@@ -80,6 +81,7 @@
 
     boxes::JoinWords wordsFor(SubId, int joinNo) override;
 
+    void countDropped(const hints::CmcdReader&);
     hints::Cmcd hintsOf(const http::RequestHead&);
     void askTalk(http::Exchange&, const std::string& title);
     void askMedia(http::Exchange&, Viewer&);
--- a/src/faces/sip/face.cpp
+++ b/src/faces/sip/face.cpp
@@ -9,10 +9,6 @@
 
 constexpr const char* kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS, UPDATE";
 
-std::string wholeSecondsUp(Micros t) {
-    return std::to_string(std::max<Micros>(1, (t + kSecond - 1) / kSecond));
-}
-
 // Of what names an INVITE, so that each copy of it comes to the same: FNV-1a, stirred.
 std::uint64_t hashOf(const std::string& key, std::uint64_t salt) {
     std::uint64_t h = 1469598103934665603ull ^ salt;
@@ -36,7 +32,7 @@
     record::TraceContext trace;
     RoomTypeId room;
     std::uint32_t network = 0;
-    bool inGate = false, playing = false, confirmed = false, updateOut = false, updateDue = false;
+    bool inGate = false, playing = false, updateOut = false, updateDue = false;
     bool callerRefreshes = false;
     SfuId at;
     int rung = 0;
@@ -240,7 +236,7 @@
 }
 
 void SipFace::look() {
-    const double fill = static_cast<double>(gate_.held()) / static_cast<double>(gate_.bound());
+    const double fill = gate_.fill();
     std::erase_if(merged_, [this](const auto& m) { return !transactions_.knows(m.second); });
     overload_.look(net_.now(), fill, std::exchange(cameNow_, 0), std::exchange(servedNow_, 0));
     look_.after(terms_.overload.every);
@@ -333,10 +329,7 @@
 void SipFace::onRequest(sip::Message m, const sip::Way& way) {
     if (m.method == "ACK") {
         if (transactions_.ack(m)) return;
-        if (Call* call = byDialog(m)) {
-            transactions_.acknowledged(call->key);
-            call->confirmed = true;
-        }
+        if (Call* call = byDialog(m)) transactions_.acknowledged(call->key);
         return;
     }
     const std::string key = sip::Transactions::keyOf(m);
@@ -344,7 +337,7 @@
     if (m.method == "INVITE" && m.to.tag.empty() && !transactions_.knows(key)) {
         ++counts_.invites;
         ++cameNow_;
-        const double fill = static_cast<double>(gate_.held()) / static_cast<double>(gate_.bound());
+        const double fill = gate_.fill();
         const bool listens = m.vias.front().params.count("oc") > 0;
         const auto priority = m.others.find("resource-priority");
         const bool emergency = priority != m.others.end() && priority->second.compare(0, 3, "ets") == 0;
@@ -411,17 +404,9 @@
     if (calls_.size() >= terms_.calls || gate_.ask(network) != admission::Gate::Let::In)
         return reply(key, m, 503, {{"Retry-After", wholeSecondsUp(terms_.retryWhenFull)}});
 
-    Wish wish;
-    wish.room = *room;
-    wish.title = TitleId{m.user};
-    wish.firstCell = talk->second.firstCell;
-    wish.holders = talk->second.holders;
-    wish.maxRung = static_cast<int>(ladder_.kb.size()) - 1;
     const RoomType& type = rooms_.types[room->v];
-    while (offer.mostBits && wish.maxRung > type.floor &&
-           ladder_.kb[static_cast<std::size_t>(wish.maxRung)] * type.rateFactor * 8'000 >
-               static_cast<double>(*offer.mostBits) * 1.001)
-        --wish.maxRung;
+    const double kbits = offer.mostBits ? static_cast<double>(*offer.mostBits) / 1'000 : 1e18;
+    const Wish wish = wishFor(*room, m.user, talk->second, ladder_, type, kbits);
     Micros timeout = rooms_.clientTimeouts[room->v];
     if (m.expires && *m.expires > 0) timeout = std::min(timeout, static_cast<Micros>(*m.expires) * kSecond);
     const auto id = core_.ask(*this, wish, timeout);
--- a/src/faces/sip/face.hpp
+++ b/src/faces/sip/face.hpp
@@ -18,6 +18,7 @@
 #include "admission/gate.hpp"
 #include "boxes/joins.hpp"
 #include "core/core.hpp"
+#include "faces/asking.hpp"
 #include "record/log.hpp"
 #include "record/trace.hpp"
 #include "settings/site.hpp"
--- a/src/settings/kdl.cpp
+++ b/src/settings/kdl.cpp
@@ -275,8 +275,6 @@
                     out.children = std::move(children);
                     out.braces = true;
                     childrenSeen = true;
-                } else {
-                    droppedBlock_ = true;
                 }
                 continue;
             }
@@ -654,7 +652,6 @@
     KdlLimits limits_;
     std::size_t pos_ = 0;
     Place place_;
-    bool droppedBlock_ = false;
 };
 
 bool bareWord(const std::string& s) {
--- a/src/standins/list.hpp
+++ b/src/standins/list.hpp
@@ -49,9 +49,6 @@
     std::vector<std::unique_ptr<Stream>> dead_;
     std::uint64_t next_ = 1;
     net::Timer beat_, bury_;
-    struct Later {
-        std::unique_ptr<net::Timer> timer;
-    };
     std::vector<std::unique_ptr<net::Timer>> later_;
 };
 
--- a/src/standins/player.cpp
+++ b/src/standins/player.cpp
@@ -127,7 +127,6 @@
     }
     head_ = {};
     body_.clear();
-    bodyBytes_ = 0;
     sentAt_ = net_.now();
     conn_->fetch(http::requestBytes("GET", target, at_, f), false, *this);
 }
@@ -199,7 +198,6 @@
     head_ = head;
 }
 void Player::piece(std::string_view bytes) {
-    bodyBytes_ += bytes.size();
     if (state_ == State::Asking || state_ == State::Playlist) body_ += bytes;
 }
 
@@ -232,7 +230,6 @@
             media_ = hls::resolved("/talk/x/main.m3u8", read.got->variants.front().uri).value_or("");
             base_ = media_;
             if (until_ == 0) until_ = net_.now() + plan_.watch;
-            everPlayed_ = true;
             startedAt_ = net_.now();
             state_ = State::Playlist;
             timer_.after(15 * kSecond);
--- a/src/standins/player.hpp
+++ b/src/standins/player.hpp
@@ -56,7 +56,6 @@
     void start();
     int number() const { return number_; }
     bool over() const { return state_ == State::Over; }
-    bool everPlayed() const { return everPlayed_; }
     std::uint64_t segments() const { return segments_; }
 
   private:
@@ -93,13 +92,12 @@
     Micros askedAt_ = 0, sentAt_ = 0, startedAt_ = 0, until_ = 0;
     http::ResponseHead head_;
     std::string body_;
-    std::uint64_t bodyBytes_ = 0;
     hls::MediaPlaylist list_;
     std::uint64_t nextNo_ = 0;
     std::string map_;
     double buffered_ = 0;
     std::uint64_t segments_ = 0;
-    bool everPlayed_ = false, haveNo_ = false;
+    bool haveNo_ = false;
 };
 
 }  // namespace valekeel::standins
