--- a/bench/structures.cpp
+++ b/bench/structures.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "admission/networks.hpp"
+#include "crowd/fairshare.hpp"
 #include "net/wheel.hpp"
 
 namespace valekeel {
@@ -149,5 +150,106 @@
 BENCHMARK(prefixTrie)->Arg(10)->Arg(100)->Arg(1'000)->Arg(10'000);
 BENCHMARK(linearScan)->Arg(10)->Arg(100)->Arg(1'000)->Arg(10'000);
 
+// ---- fair shares: one viewer goes and one comes, among so many, over 40 members, 60 boxes in 6 racks ----
+
+struct Sites {
+    static constexpr std::uint32_t kMembers = 40, kBoxes = 60, kRacks = 6;
+    std::mt19937 chance{5};
+    std::vector<double> capacities;
+    explicit Sites(std::size_t flows) {
+        const auto each = static_cast<double>(flows) * 15;  // a little under what all of them would take
+        for (std::uint32_t i = 0; i < kMembers; ++i)
+            capacities.push_back(each / kMembers * (0.3 + i % 7 * 0.3));
+        for (std::uint32_t i = 0; i < kBoxes; ++i) capacities.push_back(each / kBoxes * (0.5 + i % 5 * 0.3));
+        for (std::uint32_t i = 0; i < kRacks; ++i) capacities.push_back(each / kRacks * 0.9);
+    }
+    std::array<std::uint32_t, 3> path() {
+        const auto box = static_cast<std::uint32_t>(chance() % kBoxes);
+        return {static_cast<std::uint32_t>(chance() % kMembers), kMembers + box,
+                kMembers + kBoxes + box % kRacks};
+    }
+    double cap() { return std::array{5.0, 14.0, 26.0, 40.0}[chance() % 4]; }
+};
+
+void fairShareIndexed(benchmark::State& state) {
+    const auto many = static_cast<std::size_t>(state.range(0));
+    Sites sites(many);
+    crowd::FairShare share;
+    for (const double c : sites.capacities) share.addLink(c);
+    const auto one = [&] {
+        const auto p = sites.path();
+        return share.join(std::array{crowd::LinkNo{p[0]}, crowd::LinkNo{p[1]}, crowd::LinkNo{p[2]}},
+                          sites.cap());
+    };
+    std::vector<crowd::BundleNo> flows;
+    for (std::size_t i = 0; i < many; ++i) flows.push_back(one());
+    share.settle();
+    for (auto _ : state) {
+        auto& flow = flows[sites.chance() % many];
+        share.leave(flow);
+        flow = one();
+        share.settle();
+        benchmark::DoNotOptimize(share.rate(flow));
+    }
+}
+
+// Everything anew: the link with the least to give is settled, with all that cross it, then the next.
+void fairShareAnew(benchmark::State& state) {
+    const auto many = static_cast<std::size_t>(state.range(0));
+    Sites sites(many);
+    std::vector<std::array<std::uint32_t, 3>> paths;
+    std::vector<double> caps, rates(many);
+    for (std::size_t i = 0; i < many; ++i) {
+        paths.push_back(sites.path());
+        caps.push_back(sites.cap());
+    }
+    std::vector<std::size_t> byCap(many);
+    for (auto _ : state) {
+        const std::size_t changed = sites.chance() % many;
+        paths[changed] = sites.path();
+        caps[changed] = sites.cap();
+        std::vector<double> left = sites.capacities;
+        std::vector<std::uint32_t> crossing(left.size(), 0);
+        std::vector<bool> held(many, false);
+        for (const auto& p : paths)
+            for (const auto l : p) ++crossing[l];
+        for (std::size_t i = 0; i < many; ++i) byCap[i] = i;
+        std::sort(byCap.begin(), byCap.end(), [&](auto a, auto b) { return caps[a] < caps[b]; });
+        std::size_t next = 0;
+        for (std::size_t open = many; open > 0;) {
+            std::size_t narrow = left.size();
+            double least = 1e300;
+            for (std::size_t l = 0; l < left.size(); ++l)
+                if (crossing[l] > 0 && left[l] / crossing[l] < least) {
+                    least = left[l] / crossing[l];
+                    narrow = l;
+                }
+            const auto hold = [&](std::size_t i, double rate) {
+                held[i] = true;
+                rates[i] = rate;
+                --open;
+                for (const auto l : paths[i]) {
+                    left[l] -= rate;
+                    --crossing[l];
+                }
+            };
+            bool capped = false;
+            for (; next < many && caps[byCap[next]] <= least; ++next)
+                if (!held[byCap[next]]) {
+                    hold(byCap[next], caps[byCap[next]]);
+                    capped = true;
+                }
+            if (capped) continue;
+            for (std::size_t i = 0; i < many; ++i)
+                if (!held[i] && (paths[i][0] == narrow || paths[i][1] == narrow || paths[i][2] == narrow))
+                    hold(i, least);
+        }
+        benchmark::DoNotOptimize(rates[changed]);
+    }
+}
+
+BENCHMARK(fairShareIndexed)->Arg(1'000)->Arg(10'000)->Arg(100'000);
+BENCHMARK(fairShareAnew)->Arg(1'000)->Arg(10'000)->Arg(100'000);
+
 }  // namespace
 }  // namespace valekeel
--- /dev/null
+++ b/src/admission/bound.hpp
@@ -0,0 +1,40 @@
+// How many requests may wait for an answer at once, found from how long answers take: as many as keep the
+// median wait at the target. Decides only: no I/O, no clock.
+//
+// More waiting than media servers can set up in time costs their work twice over: what is given up on or sent
+// again runs there all the same. So the bound falls while answers take longer than they should, and rises
+// again while it is reached and they don't. What is slow without a crowd is no reason to turn anybody away:
+// the target is never under twice the shortest median seen lately.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "model/ids.hpp"
+
+namespace valekeel::admission {
+
+struct BoundTerms {
+    std::size_t least = 64, most = 5'000;
+    Micros target = 300'000;  // 0: the bound stays at `most`
+    Micros every = 200'000;   // between looks
+};
+
+class Bound {
+  public:
+    explicit Bound(const BoundTerms& terms);
+    // One was answered by a placement, or its set-up came to nothing. `held`: those that wait now.
+    void answered(Micros now, Micros took, std::size_t held);
+    std::size_t now() const { return bound_; }
+    Micros median() const { return median_; }  // of the last look; 0 before the first
+
+  private:
+    void look(Micros now, std::size_t held);
+    static constexpr std::size_t kSeen = 512;  // of a look: enough for a median
+    BoundTerms terms_;
+    std::size_t bound_;
+    std::vector<Micros> seen_;
+    Micros lookedAt_ = 0, median_ = 0, quiet_ = 0;
+};
+
+}  // namespace valekeel::admission
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -49,19 +49,54 @@
     forgetIfIdle(network);
 }
 
-Gate::Let Gate::ask(std::uint32_t network) {
+Gate::Let Gate::letFor(std::size_t ofIt) const {
+    const std::size_t waiting = bound();
+    if (held_ >= waiting) return Let::Full;
+    const std::size_t sharers = holding_ + (ofIt == 0 ? 1 : 0) + 1;
+    const std::size_t share = std::max<std::size_t>(1, waiting / sharers);
+    if (held_ >= waiting / 2 && ofIt >= share) return Let::OverShare;
+    const std::size_t kept = waiting / 10;
+    if (held_ + kept >= waiting && ofIt >= std::max<std::size_t>(1, kept / 4)) return Let::OverShare;
+    return Let::In;
+}
+
+Gate::Let Gate::ask(Micros now, std::uint32_t network) {
     Network& n = networks_[network];
-    if (held_ >= waiting_) return Let::Full;
-    const std::size_t sharers = holding_ + (n.waiting == 0 ? 1 : 0) + 1;
-    const std::size_t share = std::max<std::size_t>(1, waiting_ / sharers);
-    if (held_ >= waiting_ / 2 && n.waiting >= share) return Let::OverShare;
-    const std::size_t kept = waiting_ / 10;
-    if (held_ + kept >= waiting_ && n.waiting >= std::max<std::size_t>(1, kept / 4)) return Let::OverShare;
+    Let let = letFor(n.waiting);
+    if (let == Let::In && !ways_.mayWatch(now, network)) let = Let::Narrow;
+    if (let == Let::In && !returns_.worthAsking(now)) let = Let::Crowded;
+    if (let != Let::In) {
+        forgetIfIdle(network);
+        return let;
+    }
     if (n.waiting++ == 0) ++holding_;
     ++held_;
     return Let::In;
 }
 
+const char* Gate::why(Let let) {
+    switch (let) {
+        case Let::In:
+            return "let in";
+        case Let::Full:
+        case Let::OverShare:
+            return "too many ask at once";
+        case Let::Narrow:
+            return "the way to your network is full";
+        case Let::Crowded:
+            return "no room for it now";
+    }
+    return "";
+}
+
+bool Gate::wouldLet(const net::IpAddress& ip) const {
+    const Prefix host = hostOf(ip);
+    if (const auto told = told_.find(host)) return letFor(networks_[*told].waiting) == Let::In;
+    const bool four = ip.is_v4() || ip.to_v6().is_v4_mapped();
+    const auto it = untold_.find(cut(host, four ? 96 + prefix4_ : prefix6_));
+    return letFor(it == untold_.end() ? 0 : networks_[it->second].waiting) == Let::In;
+}
+
 void Gate::answered(std::uint32_t network) {
     Network& n = networks_[network];
     if (--n.waiting == 0) --holding_;
--- a/src/admission/gate.hpp
+++ b/src/admission/gate.hpp
@@ -11,16 +11,25 @@
 #include <string>
 #include <vector>
 
+#include "admission/bound.hpp"
 #include "admission/networks.hpp"
+#include "admission/returns.hpp"
+#include "admission/ways.hpp"
 #include "model/ids.hpp"
 
 namespace valekeel::admission {
 
 class Gate {
   public:
-    // `waiting`: requests that may wait at once; `connections`: open at once from one network.
-    Gate(std::size_t waiting, std::size_t connectionsEach, int prefix4, int prefix6)
-        : waiting_(waiting), connectionsEach_(connectionsEach), prefix4_(prefix4), prefix6_(prefix6) {}
+    // Requests that may wait at once by `bound`; `connections`: open at once from one network.
+    Gate(const BoundTerms& bound, std::size_t connectionsEach, int prefix4, int prefix6,
+         const ReturnTerms& returns = {}, const WayTerms& ways = {})
+        : bound_(bound),
+          connectionsEach_(connectionsEach),
+          prefix4_(prefix4),
+          prefix6_(prefix6),
+          returns_(returns),
+          ways_(ways) {}
 
     // Networks of members, told in the settings; other addresses are grouped by the prefix lengths above.
     void name(const Prefix& network, const std::string& name);
@@ -31,13 +40,32 @@
     bool connect(std::uint32_t network);  // false: turned away
     void disconnect(std::uint32_t network);
 
-    enum class Let { In, Full, OverShare };
-    Let ask(std::uint32_t network);
+    enum class Let {
+        In,
+        Full,
+        OverShare,
+        Narrow,   // the network's own way is short: one more would only take from those who watch
+        Crowded,  // nearly all asks come to nothing, and enough of them have been put to the module
+    };
+    Let ask(Micros now, std::uint32_t network);
+    static const char* why(Let);
+    // When whoever is turned away now should come again, from now; not before `least`.
+    Micros comeBack(Micros now, Micros least) { return returns_.tell(now, least); }
+    void placed(Micros now) { returns_.placed(now); }
+    void throttled(Micros now) { returns_.throttled(now); }
+    // A segment reached a viewer of that network whole: see Ways.
+    void delivered(Micros now, std::uint32_t network, double share, bool lowest) {
+        ways_.delivered(now, network, share, lowest);
+    }
+    // What ask() would say to a request from there, now; nothing is kept of it.
+    bool wouldLet(const net::IpAddress&) const;
     void answered(std::uint32_t network);
+    // How long a placement took, or a set-up that came to nothing: what the bound is found from.
+    void took(Micros now, Micros time) { bound_.answered(now, time, held_); }
 
     std::size_t held() const { return held_; }
-    std::size_t bound() const { return waiting_; }
-    double fill() const { return static_cast<double>(held_) / static_cast<double>(waiting_); }
+    std::size_t bound() const { return bound_.now(); }
+    double fill() const { return static_cast<double>(held_) / static_cast<double>(bound()); }
     std::size_t holding() const { return holding_; }  // networks that hold something
     std::size_t networks() const { return networks_.size(); }
 
@@ -49,8 +77,12 @@
         Prefix prefix;
     };
     void forgetIfIdle(std::uint32_t);
-    std::size_t waiting_, connectionsEach_;
+    Let letFor(std::size_t waitingOfIt) const;
+    Bound bound_;
+    std::size_t connectionsEach_;
     int prefix4_, prefix6_;
+    Returns returns_;
+    Ways ways_;
     PrefixTrie told_;
     std::map<std::string, std::uint32_t> names_;
     std::map<Prefix, std::uint32_t> untold_;
--- /dev/null
+++ b/src/admission/returns.cpp
@@ -0,0 +1,55 @@
+#include "admission/returns.hpp"
+
+#include <algorithm>
+
+namespace valekeel::admission {
+
+void Returns::look(Micros now) {
+    if (now - lookedAt_ < terms_.window) return;
+    const double span = seconds(now - lookedAt_);
+    const double rate = static_cast<double>(placedNow_) / span;
+    // What came in a burst at the opening says little of how places come free later: half by half.
+    placedRate_ = seen_ ? (placedRate_ + rate) / 2 : rate;
+    seen_ = true;
+    const std::uint64_t all = placedNow_ + throttledNow_;
+    // With two bounds, so that it does not go to and fro.
+    if (all >= 10) crowded_ = throttledNow_ * 10 >= all * (crowded_ ? 5 : 8);
+    if (throttledNow_ == 0) crowded_ = false;
+    placedNow_ = throttledNow_ = 0;
+    lookedAt_ = now;
+}
+
+void Returns::placed(Micros now) {
+    look(now);
+    ++placedNow_;
+}
+void Returns::throttled(Micros now) {
+    look(now);
+    ++throttledNow_;
+}
+
+bool Returns::worthAsking(Micros now) {
+    look(now);
+    const double rate = std::max(terms_.least, terms_.asksForEach * placedRate_);
+    tokens_ = std::min(rate, tokens_ + rate * seconds(now - filledAt_));  // a second's worth at most
+    filledAt_ = now;
+    if (terms_.most <= 0 || !crowded_) return true;
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+}
+
+Micros Returns::tell(Micros now, Micros least) {
+    look(now);
+    if (terms_.most <= 0) return least;
+    const double rate = std::max(1.0, placedRate_ * terms_.over);
+    const Micros apart = static_cast<Micros>(1e6 / rate);
+    // The first is told `least`; each later one comes behind those who were told before.
+    nextSlot_ = std::max(nextSlot_ + apart, now + least);
+    const Micros latest = now + std::max(least, terms_.most);
+    // Beyond the longest wait the row begins anew, over the last half of it: not all at its very end.
+    if (nextSlot_ > latest) nextSlot_ = now + std::max(least, terms_.most / 2);
+    return nextSlot_ - now;
+}
+
+}  // namespace valekeel::admission
--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -35,6 +35,14 @@
             return d.second.first <= when && when <= d.second.second + terms.onTheWay;
         });
     };
+    const auto wasDownWithin = [&](const Line& l, Micros asked) {
+        const auto [first, last] = down.equal_range(l.front);
+        const auto room = terms.rooms.find(l.room);
+        const Micros had = room == terms.rooms.end() ? 0 : room->second.clientTimeout;
+        return std::any_of(first, last, [&](const auto& d) {
+            return d.second.first <= asked + had && asked <= d.second.second + terms.onTheWay;
+        });
+    };
     for (const Line& l : ledger.lines()) {
         if (l.player < 0) continue;
         if (l.what == "ask") {
@@ -57,7 +65,8 @@
         } else if (l.what == "no-answer") {
             Ask& ask = asks[l.trace];
             // What a killed front held is no longer its duty; nor was it taken where nobody listened.
-            if (ask.asked && wasDown(l.front, l.at))
+            // Over datagrams nothing breaks: the front must have been down in the time it had to answer in.
+            if (ask.asked && (l.face == "sip" ? wasDownWithin(l, ask.asked->at) : wasDown(l.front, l.at)))
                 ask.excused = true;
             else
                 out.push_back({1, std::string(l.status == 1 ? "its connection broke"
--- a/src/boxes/boxes.cpp
+++ b/src/boxes/boxes.cpp
@@ -152,14 +152,33 @@
 struct Boxes::Told final : RequestUser {
     Boxes& all;
     std::uint64_t key;
+    SfuId box;
+    std::string method, target;
+    http::Fields fields;
+    int tries = 0;
     std::unique_ptr<Request> request;
-    net::Timer over;
-    Told(Boxes& all, std::uint64_t key)
-        : all(all), key(key), over(all.net_, [this] { this->all.told_.erase(this->key); }) {}
+    net::Timer again, over;
+    Told(Boxes& all, std::uint64_t key, SfuId box, std::string_view method, const std::string& target,
+         const http::Fields& fields)
+        : all(all),
+          key(key),
+          box(box),
+          method(method),
+          target(target),
+          fields(fields),
+          again(all.net_, [this] { go(); }),
+          over(all.net_, [this] { this->all.told_.erase(this->key); }) {}
+    void go() {
+        ++tries;
+        request = all.send(box, method, target, fields, false, 2 * kSecond, *this);
+    }
     void head(const http::ResponseHead&) override {}
     void piece(std::string_view) override {}
     void whole() override { over.after(0); }
-    void failed(WireEnd) override { over.after(0); }
+    void failed(WireEnd) override {
+        if (tries >= all.limits_.releaseTries) return over.after(0);
+        again.after(Micros{50'000} << std::min(2 * tries, 8));  // 200 ms, 800 ms, and so on
+    }
 };
 
 Boxes::Boxes(net::Net& net, const http::WireLimits& wire, const BoxLimits& limits)
@@ -215,10 +234,10 @@
 }
 
 void Boxes::tell(SfuId id, std::string_view method, const std::string& target, const http::Fields& fields) {
-    if (told_.size() >= limits_.waiting) return;  // a box drops what it hears nothing of by itself
+    if (told_.size() >= limits_.releases) return;
     const std::uint64_t key = nextTold_++;
-    auto& told = told_[key] = std::make_unique<Told>(*this, key);
-    told->request = send(id, method, target, fields, false, 2 * kSecond, *told);
+    auto& told = told_[key] = std::make_unique<Told>(*this, key, id, method, target, fields);
+    told->go();
 }
 
 void Boxes::serveWaiting(Box& box) {
--- a/src/boxes/boxes.hpp
+++ b/src/boxes/boxes.hpp
@@ -19,6 +19,8 @@
 struct BoxLimits {
     std::size_t connections = 256;  // to one box
     std::size_t waiting = 1'024;    // requests that wait for one of them
+    std::size_t releases = 20'000;  // that boxes are still to be told of
+    int releaseTries = 5;
     Micros connectWithin = 250'000;
     Micros keepIdle = 20'000'000;
     Micros sureFor = 1'000'000;
@@ -58,7 +60,8 @@
     // before this returns.
     std::unique_ptr<Request> send(SfuId, std::string_view method, const std::string& target,
                                   const http::Fields&, bool sure, Micros within, RequestUser&);
-    // Fire and forget: tells a box that what it holds there is over.
+    // Tells a box that what it holds there is over; tried again where nothing comes back, as often as
+    // allowed. What it then doesn't hear it drops by itself.
     void tell(SfuId, std::string_view method, const std::string& target, const http::Fields&);
 
     std::size_t connections() const;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,7 @@
 // valekeel SUBCOMMAND: arguments, exit codes, and putting the parts together. Exit codes: 0 done; 1 a rule
 // was broken or something was found wrong; 2 the call or the settings are wrong; 3 something outside failed.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <chrono>
 #include <csignal>
@@ -9,6 +11,7 @@
 #include <iostream>
 #include <random>
 
+#include "experiment/experiment.hpp"
 #include "front/front.hpp"
 #include "net/epoll.hpp"
 #include "net/process.hpp"
@@ -28,7 +31,8 @@
 }
 
 int serve(const std::string& file, std::uint64_t seed, const std::string& portFile,
-          const std::string& decisions) {
+          const std::string& decisions, bool withParent) {
+    if (withParent) net::endWithParent();
     const auto document = settings::Document::fromFile(file);
     net::raiseDescriptorLimit();
     const std::uint64_t used = seed ? seed : someSeed();
@@ -40,6 +44,7 @@
         {
             std::ofstream out(portFile + ".new");
             out << net::text(front.http()) << "\n";
+            if (front.sip()) out << net::text(front.sip()->at()) << "\n";
         }
         std::filesystem::rename(portFile + ".new", portFile);
     }
@@ -190,10 +195,30 @@
     return answers.size() == 1 && answers.begin()->first == 200 ? kDone : kFound;
 }
 
-int drillDay(const std::string& file, const std::string& decisions, std::string folder,
-             const std::string& ledgerFile, bool quiet) {
-    const auto document = settings::Document::fromFile(file);
-    const rehearse::Day day = rehearse::readDay(document);
+struct Played {  // how a day is to be played
+    std::string file, decisions, folder, ledger, json;
+    std::vector<std::string> sets;
+    std::uint64_t seed = 0;
+    bool real = true, quiet = false;
+};
+
+int playDay(const Played& how) {
+    const auto& [file, decisions, given, ledgerFile, jsonFile, sets, seed, real, quiet] = how;
+    std::string folder = given;
+    std::ifstream in(file, std::ios::binary);
+    if (!in) throw std::runtime_error(file + ": cannot be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    std::vector<std::pair<std::string, std::string>> changes;
+    for (const std::string& one : sets) {
+        const auto equals = one.find('=');
+        if (equals == std::string::npos) throw std::invalid_argument("--set takes NODE/NODE@PROPERTY=VALUE");
+        changes.emplace_back(one.substr(0, equals), one.substr(equals + 1));
+    }
+    const auto document = settings::Document::fromText(
+        file, changes.empty() ? text.str() : rehearse::withSettings(file, text.str(), changes));
+    rehearse::Day day = rehearse::readDay(document);
+    if (seed) day.seed = seed;
     const bool own = folder.empty();
     if (own)
         folder = (std::filesystem::temp_directory_path() /
@@ -202,13 +227,18 @@
                      .string();
     std::filesystem::create_directories(folder);
     rehearse::DrillWays ways;
+    ways.real = real;
     ways.program = net::ownProgram();
     ways.folder = folder;
     ways.decisions = decisions;
     if (!quiet) ways.say = [](const std::string& words) { std::cerr << "drill: " << words << std::endl; };
     standins::Ledger ledger;
     const rehearse::DrillResult result = rehearse::drill(day, ways, ledger);
-    std::cout << rehearse::told(result);
+    if (!quiet || jsonFile.empty()) std::cout << rehearse::told(result);
+    if (!jsonFile.empty()) {  // whole or not at all
+        std::ofstream(jsonFile + ".new") << rehearse::asJson(result);
+        std::filesystem::rename(jsonFile + ".new", jsonFile);
+    }
     if (!ledgerFile.empty()) {
         std::ofstream out(ledgerFile);
         ledger.write(out);
@@ -220,6 +250,34 @@
     return result.breaches.empty() ? kDone : kFound;
 }
 
+int experimentPlan(const std::string& file, std::string store, std::string out, bool reportOnly) {
+    const auto plan = experiment::readPlan(settings::Document::fromFile(file));
+    const std::filesystem::path place(file);
+    experiment::Ways ways;
+    ways.program = net::ownProgram();
+    ways.folder = place.has_parent_path() ? place.parent_path().string() : ".";
+    ways.out = out.empty() ? plan.name + "-report" : out;
+    ways.store = store.empty() ? plan.name + ".sqlite" : store;
+    ways.commit = VALEKEEL_COMMIT;
+    ways.terminal = ::isatty(STDERR_FILENO) == 1;
+    const int failed = reportOnly ? 0 : experiment::carryOut(plan, ways);
+    experiment::report(plan, ways);
+    std::ifstream in(ways.out + "/report.md");
+    std::cout << in.rdbuf();
+    return failed ? kFound : kDone;
+}
+
+int compareCases(const std::string& file, const std::string& store, const std::string& against,
+                 const std::string& a, const std::string& b) {
+    const auto plan = experiment::readPlan(settings::Document::fromFile(file));
+    const std::string here = store.empty() ? plan.name + ".sqlite" : store;
+    const auto first = experiment::measuresOf(experiment::Store(here).of(plan.name));
+    const auto second =
+        against.empty() ? first : experiment::measuresOf(experiment::Store(against).of(plan.name));
+    std::cout << experiment::compared(first, a, second, b.empty() ? a : b);
+    return kDone;
+}
+
 int listTroubles() {
     for (const rehearse::TroubleKind& k : rehearse::troubleKinds()) {
         std::string takes;
@@ -283,10 +341,13 @@
     std::string file, portFile, decisions, listFile = "boxes.kdl", ledger, frontText = "127.0.0.1:8080",
                                            title, room;
     std::string folder, listen = "127.0.0.1:9000", id, watch = "10s", lasts = "0s";
-    std::vector<std::string> files;
+    std::string json, store, out, against;
+    std::vector<std::string> files, sets;
     std::uint64_t seed = 0;
+    bool real = false;
     int count = 3, port = 0, players = 1;
     double linkKb = 0;
+    bool withParent = false;
     bool print = false, quiet = false, list = false;
 
     auto* s = app.add_subcommand("serve", "run a front");
@@ -295,7 +356,8 @@
     s->add_option("--port-file", portFile, "written with its address once it listens");
     s->add_option("--decisions", decisions, "a baseline in place of the module, for drills")->group("");
     s->footer("Example: valekeel serve deploy/example/site.kdl");
-    s->callback([&] { chosen = [&] { return serve(file, seed, portFile, decisions); }; });
+    s->add_flag("--with-parent", withParent, "killed when the process that started it ends");
+    s->callback([&] { chosen = [&] { return serve(file, seed, portFile, decisions, withParent); }; });
 
     auto* c = app.add_subcommand("check", "check settings, and start nothing");
     c->add_option("settings", file, "in KDL")->required();
@@ -346,10 +408,44 @@
         chosen = [&] {
             if (list) return listTroubles();
             if (file.empty()) throw std::invalid_argument("drill needs a day, or --list");
-            return drillDay(file, decisions, folder, ledger, quiet);
+            return playDay({file, decisions, folder, ledger, json, sets, seed, true, quiet});
         };
     });
 
+    auto* r = app.add_subcommand("rehearse", "play a day on a virtual clock, as fast as the CPU goes");
+    r->add_option("day", file, "the day, in KDL")->required();
+    r->add_option("--seed", seed, "in place of the day's own");
+    r->add_option("--set", sets, "change a setting of the day: NODE/NODE@PROPERTY=VALUE")->take_all();
+    r->add_flag("--real", real, "on sockets and the real clock, fronts as processes");
+    r->add_option("--decisions", decisions, "random or least-load, in place of the module")
+        ->check(CLI::IsMember({"random", "least-load"}));
+    r->add_option("--folder", folder, "for settings and logs; kept");
+    r->add_option("--ledger", ledger, "written at the end");
+    r->add_option("--json", json, "the result, for a program");
+    r->add_flag("--quiet", quiet, "only the result");
+    r->footer("Example: valekeel rehearse days/crowd.kdl --set audience@rate=20");
+    r->callback([&] {
+        chosen = [&] { return playDay({file, decisions, folder, ledger, json, sets, seed, real, quiet}); };
+    });
+
+    auto* e =
+        app.add_subcommand("experiment", "play days over factors and seeds, keep every result, and report");
+    e->add_option("plan", file, "in KDL")->required();
+    e->add_option("--store", store, "where results are kept; NAME.sqlite where none is given");
+    e->add_option("--out", out, "folder of the report; NAME-report where none is given");
+    e->add_flag("--report-only", print, "run nothing, report what is kept");
+    e->footer("Example: valekeel experiment docs/experiments/link.kdl");
+    e->callback([&] { chosen = [&] { return experimentPlan(file, store, out, print); }; });
+
+    auto* m = app.add_subcommand("compare", "tell a difference between two cases from noise");
+    m->add_option("plan", file, "in KDL")->required();
+    m->add_option("a", title, "a case, as the report names it")->required();
+    m->add_option("b", room, "another; or the same one in --against");
+    m->add_option("--store", store, "where results are kept");
+    m->add_option("--against", against, "another file of results, for B");
+    m->footer("Example: valekeel compare docs/experiments/retry.kdl \"told no\" \"told yes\"");
+    m->callback([&] { chosen = [&] { return compareCases(file, store, against, title, room); }; });
+
     auto* t = app.add_subcommand("trace", "print the way of one request, out of logs");
     t->add_option("id", id, "trace id, or its beginning")->required();
     t->add_option("logs", files, "of fronts")->required();
--- a/src/faces/http/face.cpp
+++ b/src/faces/http/face.cpp
@@ -187,7 +187,7 @@
         face_.core_.delivery().got(core::FetchId{key_}, bytes.size());
         exchange_->send(bytes);
         if (exchange_ && exchange_->unsent() > face_.terms_.relayBytes && !held_) {
-            held_ = true;
+            held_ = heldEver_ = true;
             request_->pause();
             face_.core_.delivery().heldBack(face_.net_.now(), core::FetchId{key_});
         }
@@ -224,6 +224,10 @@
                 viewer->delivered = static_cast<Micros>(got_) * 8'000 / took;
                 ++viewer->segments;
                 ++face_.relayedSegments_;
+                if (!heldEver_)  // a viewer that takes its time says nothing of its way
+                    face_.gate_.delivered(now, viewer->network,
+                                          static_cast<double>(playTime_) / static_cast<double>(took),
+                                          rung_ <= face_.rooms_.types[viewer->room.v].floor);
             }
             viewer->bytes += got_;
         }
@@ -305,7 +309,7 @@
     http::Exchange* exchange_;
     std::unique_ptr<boxes::Request> request_, finished_;
     std::string path_, body_;
-    bool playlist_ = false, begun_ = false, held_ = false, again_ = false;
+    bool playlist_ = false, begun_ = false, held_ = false, heldEver_ = false, again_ = false;
     int status_ = 0, wanted_ = 200;
     std::uint64_t length_ = 0, got_ = 0;
     Micros playTime_ = 0, sentAt_ = 0, toHead_ = 0;
@@ -481,9 +485,10 @@
     }
     if (stopping_) return refuse(exchange, 503, "this front is stopping", terms_.retryWhenFull);
     const std::uint32_t network = gate_.networkOf(exchange.peer().ip);
-    if (gate_.ask(network) != admission::Gate::Let::In) {
+    if (const auto let = gate_.ask(net_.now(), network); let != admission::Gate::Let::In) {
         ++turnedAway_;
-        return refuse(exchange, 503, "too many ask at once", terms_.retryWhenFull);
+        return refuse(exchange, 503, admission::Gate::why(let),
+                      gate_.comeBack(net_.now(), terms_.retryWhenFull));
     }
 
     const RoomType& type = rooms_.types[room->v];
@@ -671,7 +676,8 @@
 void HttpFace::throttled(SubId id, Micros comeBack) {
     Viewer* viewer = bySub(id);
     if (!viewer) return;
-    answerWaiters(*viewer, [&](http::Exchange& e) { refuse(e, 503, "no room for it now", comeBack); });
+    const Micros told = comeBack > 0 ? gate_.comeBack(net_.now(), comeBack) : 0;
+    answerWaiters(*viewer, [&](http::Exchange& e) { refuse(e, 503, "no room for it now", told); });
     endViewer(*viewer, false);
 }
 
--- a/src/faces/sip/face.cpp
+++ b/src/faces/sip/face.cpp
@@ -17,8 +17,9 @@
     h *= 0xff51afd7ed558ccdull;
     return h ^ h >> 33;
 }
-double drawOf(const std::string& key, std::uint64_t salt) {
-    return static_cast<double>(hashOf(key, salt) >> 11) / 9007199254740992.0;
+// The name under which an INVITE is turned away, and its ACK known: the same for every copy.
+std::uint64_t nameOf(std::string_view branch, std::string_view callId, std::uint64_t salt) {
+    return hashOf(std::string(branch) + "|" + std::string(callId), salt);
 }
 
 }  // namespace
@@ -33,6 +34,7 @@
     RoomTypeId room;
     std::uint32_t network = 0;
     bool inGate = false, playing = false, updateOut = false, updateDue = false;
+    bool answerDue = false;  // its INVITE brought no offer: the ACK brings the answer to ours
     bool callerRefreshes = false;
     SfuId at;
     int rung = 0;
@@ -210,6 +212,7 @@
       salt_(seed),
       transactions_(net, terms.times, terms.transactions, *this),
       overload_(terms.overload),
+      refused_(terms.refusedKept),
       bury_(net,
             [this] {
                 deadStreams_.clear();
@@ -237,8 +240,19 @@
 
 void SipFace::look() {
     const double fill = gate_.fill();
-    std::erase_if(merged_, [this](const auto& m) { return !transactions_.knows(m.second); });
-    overload_.look(net_.now(), fill, std::exchange(cameNow_, 0), std::exchange(servedNow_, 0));
+    while (!mergedUntil_.empty() && mergedUntil_.front().first <= net_.now()) {
+        std::string key = std::move(mergedUntil_.front().second);
+        mergedUntil_.pop_front();
+        const auto it = merged_.find(key);
+        if (it == merged_.end()) continue;
+        if (transactions_.knows(it->second))  // a long call set-up
+            mergedUntil_.emplace_back(net_.now() + 64 * terms_.times.t1, std::move(key));
+        else
+            merged_.erase(it);
+    }
+    const Micros unread =
+        std::exchange(unreadSum_, 0) / std::max<std::int64_t>(1, std::exchange(unreadOf_, 0));
+    overload_.look(net_.now(), fill, unread, std::exchange(cameNow_, 0), std::exchange(servedNow_, 0));
     look_.after(terms_.overload.every);
 }
 
@@ -258,7 +272,11 @@
 // ================= bytes in and out =================
 
 void SipFace::received(const net::Endpoint& from, std::string_view bytes) {
-    heard(bytes, sip::Way{false, 0, from});
+    unreadSum_ += datagrams_->waited();
+    ++unreadOf_;
+    const sip::Way way{false, 0, from};
+    if (const auto g = sip::glance(bytes); g && turnedAwayAtAGlance(*g, way)) return;
+    heard(bytes, way);
 }
 
 void SipFace::accepted(std::unique_ptr<net::Stream> stream) {
@@ -306,8 +324,9 @@
         copy.vias.front().written +=
             overload_.viaParameters(algo == m.vias.front().params.end() ? "" : algo->second);
     }
-    sendOn(way, sip::response(copy, status, record::hex64(drawOf(sip::Transactions::keyOf(m), salt_) * 1e18),
-                              more, "", &way.peer));
+    sendOn(way,
+           sip::response(copy, status, record::hex64(nameOf(m.vias.front().branch, m.callId, salt_) ^ salt_),
+                         more, "", &way.peer));
 }
 
 void SipFace::reply(const std::string& key, const sip::Message& m, int status,
@@ -329,7 +348,15 @@
 void SipFace::onRequest(sip::Message m, const sip::Way& way) {
     if (m.method == "ACK") {
         if (transactions_.ack(m)) return;
-        if (Call* call = byDialog(m)) transactions_.acknowledged(call->key);
+        Call* call = byDialog(m);
+        if (!call) return;
+        transactions_.acknowledged(call->key);
+        if (std::exchange(call->answerDue,
+                          false)) {  // the offer was ours, and this must answer it (13.2.2.4)
+            const auto answer = sip::readOffer(m.body);
+            if (!answer || !answer->hasVideo || !answer->wantsVideo || answer->videoPort == 0)
+                hangUp(*call, true);
+        }
         return;
     }
     const std::string key = sip::Transactions::keyOf(m);
@@ -337,11 +364,10 @@
     if (m.method == "INVITE" && m.to.tag.empty() && !transactions_.knows(key)) {
         ++counts_.invites;
         ++cameNow_;
-        const double fill = gate_.fill();
-        const bool listens = m.vias.front().params.count("oc") > 0;
         const auto priority = m.others.find("resource-priority");
         const bool emergency = priority != m.others.end() && priority->second.compare(0, 3, "ets") == 0;
-        if (stopping_ || overload_.shed(drawOf(key, salt_), listens, emergency, fill)) {
+        if (turnedAway(nameOf(m.vias.front().branch, m.callId, salt_), m.vias.front().params.count("oc") > 0,
+                       emergency, way)) {
             ++counts_.shed;
             return replyStateless(m, way, 503, terms_.retryWhenFull);
         }
@@ -351,6 +377,7 @@
             return;
         case sip::Transactions::Came::Full:
             ++counts_.shed;
+            refused_.remember(nameOf(m.vias.front().branch, m.callId, salt_));
             return replyStateless(m, way, 503, terms_.retryWhenFull);
         case sip::Transactions::Came::New:
             break;
@@ -371,6 +398,41 @@
     reply(key, m, 405, {{"Allow", kAllow}});
 }
 
+// Before a transaction is made: overload control, and the gate where it would refuse anyway. What was refused
+// once stays refused: a copy that comes when there is room again must not get a second final answer.
+bool SipFace::turnedAway(std::uint64_t name, bool listens, bool emergency, const sip::Way& way) {
+    if (refused_.knows(name)) return true;
+    const double draw = static_cast<double>(name >> 11) / 9007199254740992.0;
+    const bool away = stopping_ || (terms_.shed && (overload_.shed(draw, listens, emergency, gate_.fill()) ||
+                                                    (!emergency && !gate_.wouldLet(way.peer.ip))));
+    if (away) refused_.remember(name);
+    return away;
+}
+
+// What a flood costs at most: no message is read whole, nothing is kept but its name.
+bool SipFace::turnedAwayAtAGlance(const sip::Glance& g, const sip::Way& way) {
+    const std::uint64_t name = nameOf(g.branch, g.callId, salt_);
+    if (g.method == "ACK") return refused_.knows(name);
+    if (g.toHasTag || transactions_.knows(g.inviteKey())) return false;
+    const bool listens = g.via.find(";oc") != std::string_view::npos;
+    if (!turnedAway(name, listens, false, way)) return false;
+    ++counts_.messages;
+    ++counts_.invites;
+    ++counts_.shed;
+    ++cameNow_;
+    std::string more;
+    if (listens) {
+        const auto at = g.via.find(";oc-algo=");
+        more = overload_.viaParameters(
+            at == std::string_view::npos
+                ? std::string()
+                : std::string(g.via.substr(at + 9, g.via.find(';', at + 9) - at - 9)));
+    }
+    sendOn(way, sip::refusal(g, "503 Service Unavailable", record::hex64(name ^ salt_), more,
+                             static_cast<long>((terms_.retryWhenFull + kSecond - 1) / kSecond), way.peer));
+    return true;
+}
+
 void SipFace::onInvite(sip::Message m, const sip::Way& way) {
     const std::string key = sip::Transactions::keyOf(m);
     // The same call by another way (section 8.2.2.2): forked upstream, or sent from a second port.
@@ -400,9 +462,12 @@
     if (m.sessionExpires && static_cast<Micros>(*m.sessionExpires) * kSecond < terms_.minSe)
         return reply(key, m, 422, {{"Min-SE", wholeSecondsUp(terms_.minSe)}});
 
-    const std::uint32_t network = gate_.networkOf(way.peer.ip);
-    if (calls_.size() >= terms_.calls || gate_.ask(network) != admission::Gate::Let::In)
+    if (calls_.size() >= terms_.calls)
         return reply(key, m, 503, {{"Retry-After", wholeSecondsUp(terms_.retryWhenFull)}});
+    const std::uint32_t network = gate_.networkOf(way.peer.ip);
+    if (gate_.ask(net_.now(), network) != admission::Gate::Let::In)
+        return reply(key, m, 503,
+                     {{"Retry-After", wholeSecondsUp(gate_.comeBack(net_.now(), terms_.retryWhenFull))}});
 
     const RoomType& type = rooms_.types[room->v];
     const double kbits = offer.mostBits ? static_cast<double>(*offer.mostBits) / 1'000 : 1e18;
@@ -423,6 +488,7 @@
     call.title = m.user;
     call.way = way;
     call.offer = std::move(offer);
+    call.answerDue = m.body.empty();
     const auto parent = m.others.find("traceparent");
     const auto trace = parent == m.others.end() ? std::nullopt : record::parseTraceParent(parent->second);
     call.trace = trace ? *trace : record::newTrace(net_.draw(), net_.draw(), net_.draw());
@@ -454,6 +520,7 @@
     byKey_[key] = &call;
     byDialog_[call.dialog] = &call;
     merged_[mergeKey] = key;
+    mergedUntil_.emplace_back(net_.now() + 65 * terms_.times.t1, mergeKey);
     calls_[*id] = std::move(made);
     joins_.scribe(*id, *this);
     log_.line(record::Level::Info, net_.now(), net_.wallNow(), "asked",
@@ -554,7 +621,7 @@
     if (!call) return;
     ++servedNow_;
     std::vector<std::pair<std::string, std::string>> more;
-    if (comeBack > 0) more.emplace_back("Retry-After", wholeSecondsUp(comeBack));
+    if (comeBack > 0) more.emplace_back("Retry-After", wholeSecondsUp(gate_.comeBack(net_.now(), comeBack)));
     reply(call->key, call->invite, 486, std::move(more));
     forget(*call, false);
 }
--- a/src/faces/sip/face.hpp
+++ b/src/faces/sip/face.hpp
@@ -11,6 +11,7 @@
 // then whether it still holds it; if not, the caller gets a BYE.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +23,7 @@
 #include "record/log.hpp"
 #include "record/trace.hpp"
 #include "settings/site.hpp"
+#include "sip/glance.hpp"
 #include "sip/overload.hpp"
 #include "sip/transactions.hpp"
 
@@ -31,6 +33,8 @@
     sip::SipTimes times;
     sip::SipLimits limits;
     sip::OverloadTerms overload;
+    bool shed = true;                  // overload control; without it only the bounds hold
+    std::size_t refusedKept = 65'536;  // refusals without a transaction that are remembered
     std::size_t transactions = 20'000, calls = 20'000, streams = 2'000;
     Micros sessionExpires = 120'000'000, minSe = 90'000'000;
     Micros holdEvery = 4'000'000, holdWithin = 3'000'000;
@@ -80,6 +84,8 @@
     void inDialog(Call&, const sip::Message&, const std::string& key);
     void reply(const std::string& key, const sip::Message&, int status,
                std::vector<std::pair<std::string, std::string>> more = {}, const std::string& body = "");
+    bool turnedAwayAtAGlance(const sip::Glance&, const sip::Way&);
+    bool turnedAway(std::uint64_t name, bool listens, bool emergency, const sip::Way&);
     void replyStateless(const sip::Message&, const sip::Way&, int status, Micros comeBack = 0);
 
     void plays(SubId, SfuId, int rung) override;
@@ -118,6 +124,7 @@
     std::uint64_t salt_;
     sip::Transactions transactions_;
     sip::Overload overload_;
+    sip::Refused refused_;
     std::unique_ptr<net::Datagrams> datagrams_;
     std::unique_ptr<net::Listener> listener_;
     std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
@@ -126,13 +133,16 @@
     std::map<SubId, std::unique_ptr<Call>> calls_;
     std::map<std::string, Call*> byKey_, byDialog_;
     std::map<std::string, std::string> merged_;  // Call-ID, tag and CSeq: the transaction that came first
-    std::map<std::string, std::unique_ptr<Out>> out_;  // own requests, by branch
+    std::deque<std::pair<Micros, std::string>> mergedUntil_;  // when each is worth a look, oldest first
+    std::map<std::string, std::unique_ptr<Out>> out_;         // own requests, by branch
     std::vector<std::unique_ptr<Call>> deadCalls_;
     std::vector<std::unique_ptr<Out>> deadOut_;
     std::vector<std::unique_ptr<Hold>> deadHolds_;
     net::Timer bury_, look_;
     SipCounts counts_;
     std::uint64_t cameNow_ = 0, servedNow_ = 0;
+    Micros unreadSum_ = 0;  // of those since the last look
+    std::int64_t unreadOf_ = 0;
     bool stopping_ = false;
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -39,7 +39,10 @@
     list::FollowTimes listTimes;
     std::string listFile, listPath, listKept;
     std::optional<net::Endpoint> listAt;
-    std::size_t gateWaiting = 5'000, gateConnections = 2'000;
+    admission::BoundTerms gateBound;
+    admission::ReturnTerms gateReturns;
+    admission::WayTerms gateWays;
+    std::size_t gateConnections = 2'000;
     int prefix4 = 24, prefix6 = 56;
     std::vector<std::pair<admission::Prefix, std::string>> networks;
     std::string logFile = "-";
@@ -101,6 +104,8 @@
         b.connectWithin = node.time("connect-within", 1'000, 60 * kSecond, b.connectWithin);
         b.keepIdle = node.time("keep-idle", 0, kHour, b.keepIdle);
         b.sureFor = node.time("sure-for", 0, kHour, b.sureFor);
+        b.releases = static_cast<std::size_t>(node.whole("releases", 1, 10'000'000, b.releases));
+        b.releaseTries = static_cast<int>(node.whole("release-tries", 1, 100, b.releaseTries));
         node.finish();
     }
     t.core.reportEvery = t.tidings.every;
@@ -125,7 +130,10 @@
     s.holdWithin = node->time("hold-within", 100'000, kHour, s.holdWithin);
     s.streamIdle = node->time("stream-idle", kSecond, kHour, s.streamIdle);
     s.retryWhenFull = node->time("retry-when-full", kSecond, kHour, s.retryWhenFull);
+    s.refusedKept = static_cast<std::size_t>(node->whole("refused-kept", 2, 10'000'000, 65'536));
+    s.shed = node->flag("shed", true);
     s.overload.targetFill = node->number("target-fill", 0.05, 0.95, s.overload.targetFill);
+    s.overload.targetUnread = node->time("target-unread", 1'000, 10 * kSecond, s.overload.targetUnread);
     s.overload.every = node->time("look-every", 10'000, 10 * kSecond, s.overload.every);
     s.overload.ratePerSecond = node->number("rate", 1, 1e6, s.overload.ratePerSecond);
     node->finish();
@@ -149,7 +157,17 @@
 
 void readAdmission(Cursor& top, Told& t) {
     Cursor node = top.here("admission");
-    t.gateWaiting = static_cast<std::size_t>(node.whole("waiting", 1, 1'000'000, 5'000));
+    t.gateBound.most = static_cast<std::size_t>(node.whole("waiting", 1, 1'000'000, 5'000));
+    t.gateBound.least = static_cast<std::size_t>(node.whole("waiting-least", 1, 1'000'000, 64));
+    t.gateBound.target = node.time("target-wait", 0, kHour, t.gateBound.target);
+    admission::ReturnTerms& r = t.gateReturns;
+    r.most = node.time("come-back-most", 0, kHour, r.most);
+    r.asksForEach = node.number("asks-for-each", 1, 1e6, r.asksForEach);
+    r.least = node.number("asks-least", 1, 1e6, r.least);
+    admission::WayTerms& w = t.gateWays;
+    w.on = node.flag("narrow-ways", true);
+    w.enough = node.number("way-enough", 0.1, 1, w.enough);
+    w.window = node.time("way-window", 100'000, kHour, w.window);
     t.gateConnections = static_cast<std::size_t>(node.whole("connections-each", 1, 1'000'000, 2'000));
     t.prefix4 = static_cast<int>(node.whole("prefix4", 1, 32, 24));
     t.prefix6 = static_cast<int>(node.whole("prefix6", 1, 128, 56));
@@ -228,7 +246,8 @@
                 [this] {
                     if (follower) follower->follow();
                 }),
-          gate(told.gateWaiting, told.gateConnections, told.prefix4, told.prefix6),
+          gate(told.gateBound, told.gateConnections, told.prefix4, told.prefix6, told.gateReturns,
+               told.gateWays),
           stopping(net, [this] { lookWhetherDone(); }),
           flushing(net, [this] {
               log.flush();
@@ -306,6 +325,11 @@
         line(record::Level::Info, "join-ended", std::move(fields));
     }
     void answered(SubId id, std::string_view how, Micros took) override {
+        if (how == "throttled")
+            gate.throttled(net.now());
+        else
+            gate.took(net.now(), took);
+        if (how == "plays") gate.placed(net.now());
         auto fields = of(id);
         fields["how"] = how;
         fields["took_us"] = took;
--- a/src/net/epoll.cpp
+++ b/src/net/epoll.cpp
@@ -257,6 +257,8 @@
         const int room =
             4 * 1024 * 1024;  // as much as the system allows of it: a burst should wait, not drop
         ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+        const int stamps = 1;
+        ::setsockopt(fd_, SOL_SOCKET, SO_TIMESTAMP, &stamps, sizeof stamps);
         at_ = localOf(fd_);
         ticket_ = net_.enter(fd_, *this, EPOLLIN | EPOLLET);
     }
@@ -271,24 +273,48 @@
         ::sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<sockaddr*>(&raw), size);
     }
 
+    Micros waited() const override { return waited_; }
+
   private:
+    // So many a turn: a flood must not keep the loop from its timers and from other sockets.
+    static constexpr int kEachTurn = 64;
     void happened(std::uint32_t) override {
         static thread_local std::array<char, 65'536> buffer;
         const std::uint64_t ticket = ticket_;
         EpollNet& net = net_;
-        for (;;) {
+        for (int left = kEachTurn; left > 0;) {
             sockaddr_storage raw{};
-            socklen_t size = sizeof raw;
-            const ssize_t got =
-                ::recvfrom(fd_, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&raw), &size);
+            iovec part{buffer.data(), buffer.size()};
+            alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(timeval))> extra;
+            msghdr message{};
+            message.msg_name = &raw;
+            message.msg_namelen = sizeof raw;
+            message.msg_iov = &part;
+            message.msg_iovlen = 1;
+            message.msg_control = extra.data();
+            message.msg_controllen = extra.size();
+            const ssize_t got = ::recvmsg(fd_, &message, 0);
             if (got < 0 && errno == EINTR) continue;
             // A send that found nobody there shows as an error here, once: it says nothing of what comes
             // next.
             if (got < 0 && errno == ECONNREFUSED) continue;
             if (got < 0) return;
+            --left;
+            waited_ = waitedIn(message);
             user_.received(fromRaw(raw), std::string_view(buffer.data(), static_cast<std::size_t>(got)));
             if (net.slots_[ticket & 0xffffffff].generation != ticket >> 32) return;
         }
+        net.again_.push_back(ticket);
+    }
+    // The kernel writes down when each came, by the wall clock.
+    Micros waitedIn(msghdr& message) const {
+        for (cmsghdr* c = CMSG_FIRSTHDR(&message); c; c = CMSG_NXTHDR(&message, c)) {
+            if (c->cmsg_level != SOL_SOCKET || c->cmsg_type != SCM_TIMESTAMP) continue;
+            timeval came;
+            std::memcpy(&came, CMSG_DATA(c), sizeof came);
+            return std::max<Micros>(0, net_.wallNow() - (Micros{came.tv_sec} * kSecond + came.tv_usec));
+        }
+        return 0;
     }
 
     EpollNet& net_;
@@ -296,6 +322,7 @@
     int fd_ = -1;
     Endpoint at_;
     std::uint64_t ticket_ = 0;
+    Micros waited_ = 0;
 };
 
 class EpollNet::SignalHandler final : public EpollNet::Handler {
@@ -405,11 +432,18 @@
 void EpollNet::turn(Micros atMost) {
     Micros wait = atMost;
     now_ = clock();
+    if (!again_.empty()) wait = 0;
     if (const auto next = wheel_.next()) wait = std::min(wait, std::max<Micros>(0, *next - now_));
     std::array<epoll_event, 256> events;
     const int count = ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()),
                                    static_cast<int>((wait + 999) / 1000));
     now_ = clock();
+    std::vector<std::uint64_t> again;
+    again.swap(again_);
+    for (const std::uint64_t ticket : again) {
+        const Slot slot = slots_[ticket & 0xffffffff];
+        if (slot.handler && slot.generation == ticket >> 32) slot.handler->happened(EPOLLIN);
+    }
     for (int i = 0; i < count; ++i) {
         const std::uint64_t ticket = events[static_cast<std::size_t>(i)].data.u64;
         const Slot slot = slots_[ticket & 0xffffffff];
--- a/src/net/epoll.hpp
+++ b/src/net/epoll.hpp
@@ -52,6 +52,7 @@
     std::mt19937_64 chance_;
     std::vector<Slot> slots_;
     std::vector<std::uint32_t> free_;
+    std::vector<std::uint64_t> again_;  // those who stopped before they had read all
     std::unique_ptr<Handler> signals_;
     bool running_ = false;
 };
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -78,6 +78,8 @@
     virtual ~Datagrams() = default;
     virtual Endpoint at() const = 0;
     virtual void send(const Endpoint& to, std::string_view bytes) = 0;
+    // How long the one that is being handed out lay unread, as far as is known.
+    virtual Micros waited() const { return 0; }
 };
 
 class Net {
--- a/src/net/process.cpp
+++ b/src/net/process.cpp
@@ -1,6 +1,7 @@
 #include "net/process.hpp"
 
 #include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -110,6 +111,12 @@
     return id_ < 0 ? 0 : residentOf(std::to_string(id_));
 }
 
+void endWithParent() {
+    const pid_t parent = ::getppid();
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent || parent == 1) ::kill(::getpid(), SIGKILL);  // it ended in between
+}
+
 std::string ownProgram() {
     char path[4096];
     const ssize_t got = ::readlink("/proc/self/exe", path, sizeof path);
--- a/src/net/process.hpp
+++ b/src/net/process.hpp
@@ -31,6 +31,8 @@
     double used_ = 0;
 };
 
+// From now on this process is killed when the one that started it ends; at once if it has ended already.
+void endWithParent();
 std::string ownProgram();  // path of the program that runs
 double ownCpuSeconds();
 long ownMemoryKb();
--- a/src/rehearse/day.cpp
+++ b/src/rehearse/day.cpp
@@ -1,7 +1,9 @@
 #include "rehearse/day.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <set>
+#include <stdexcept>
 
 namespace valekeel::rehearse {
 
@@ -36,6 +38,8 @@
         {"link-weak", "links of boxes give so many times less", "slow", {"box", "for", "size"}},
         {"all-links-weak", "all links give so many times less", "shared_slow", {"for", "size"}},
         {"uplink-weak", "uplinks of racks give so many times less", "origin_slow", {"rack", "for", "size"}},
+        {"member-weak", "links of members give so many times less", "", {"member", "for", "size"}},
+        {"member-cut", "links of members give nothing", "", {"member", "for"}},
         {"reports-late", "figures of use are so old", "report_late", {"for", "time"}},
         {"list-unreachable", "the list of boxes is out of reach", "discovery_down", {"for"}},
         {"list-late", "the list's news come so much later", "", {"for", "time"}},
@@ -67,8 +71,136 @@
     return out;
 }
 
+std::vector<std::pair<double, standins::PlayerRoom>> roomsOf(Cursor& node, const Day& day) {
+    std::vector<std::pair<double, standins::PlayerRoom>> out;
+    for (Cursor& room : node.each("room")) {
+        const std::string name = room.argument("a room type");
+        const auto id = day.rooms.find(name);
+        if (!id) room.wrong("room type '" + name + "' is not among the site's");
+        const RoomType& r = day.rooms.types[id->v];
+        out.push_back({room.number("part", 0, 1e6, 1),
+                       {name, day.rooms.clientTimeouts[id->v], r.joinObjective, r.paid, r.benefit}});
+        room.finish();
+    }
+    if (out.empty()) node.wrong("rooms are expected: room \"NAME\" part=...");
+    return out;
+}
+
+// Wanted by a Zipf law, in the order of their names.
+std::vector<std::pair<double, std::string>> titlesOf(Cursor& node, const settings::Talks& talks) {
+    const double zipf = node.number("zipf", 0, 5, 0.8);
+    std::vector<std::pair<double, std::string>> out;
+    for (const auto& [title, talk] : talks)
+        out.emplace_back(1 / std::pow(static_cast<double>(out.size() + 1), zipf), title);
+    return out;
+}
+
+int memberNamed(Cursor& node, const Day& day) {
+    const std::string member = node.text("member");
+    const auto it = std::find_if(day.members.begin(), day.members.end(),
+                                 [&](const Member& m) { return m.name == member; });
+    if (it == day.members.end()) node.wrongOf("member", "'" + member + "' is none of the members");
+    return static_cast<int>(it - day.members.begin());
+}
+
+Audience readAudience(Cursor& node, const Day& day, const settings::Talks& talks) {
+    Audience a;
+    node.asWritten();  // a name, for who changes its settings
+    a.rate = node.number("rate", 0, 1e6);
+    a.swing = node.number("swing", 0, 1, 0);
+    a.at = node.time("at", 0, kDay, 0);
+    a.until = node.time("until", a.at, kDay, day.length);
+    a.period = node.time("period", kSecond, kDay, std::max<Micros>(kSecond, a.until - a.at));
+    a.watchMedian = node.time("watch", 1, kDay);
+    a.watchSigma = node.number("watch-sigma", 0, 5, 0.6);
+    a.patience = node.time("patience", 100'000, kDay, 5 * kSecond);
+    a.stallWeight = node.number("stall-weight", 0, 100, 1);
+    a.returns = static_cast<int>(node.whole("returns", 0, 1'000, 1));
+    a.back = node.time("back", 0, kDay, 500'000);
+    a.honours = node.number("honours", 0, 1, 1);
+    a.atOnce = node.number("at-once", 0, 1, 0);
+    a.badHints = node.number("bad-hints", 0, 1, 0);
+    a.smallScreens = node.number("small-screens", 0, 1, 0);
+    a.ownAbr = node.number("own-abr", 0, 1, 0);
+    a.startWith = node.time("start-with", 0, kDay, kSecond);
+    a.bufferMost = node.time("buffer", kSecond, kDay, 8 * kSecond);
+    a.zipf = node.number("zipf", 0, 5, 0.8);
+    a.hot = node.number("hot", 0, 1, 0);
+    if (node.has("member")) a.member = memberNamed(node, day);
+    a.rooms = roomsOf(node, day);
+    for (const auto& [title, talk] : talks) a.titles.push_back(title);
+    for (Cursor& one : node.each("flash")) {
+        a.flashes.push_back({one.time("at", 0, kDay), one.time("for", 1, kDay), one.number("times", 0, 1e4)});
+        one.finish();
+    }
+    for (Cursor& one : node.each("train")) {
+        Audience::Train t;
+        t.viewers = static_cast<int>(one.whole("viewers", 0, 1'000'000));
+        t.at = one.time("at", 0, kDay);
+        t.over = one.time("over", 0, kDay, kSecond);
+        t.member = memberNamed(one, day);
+        one.finish();
+        a.trains.push_back(t);
+    }
+    node.finish();
+    return a;
+}
+
 }  // namespace
 
+std::string withSettings(const std::string& file, const std::string& text,
+                         const std::vector<std::pair<std::string, std::string>>& changes) {
+    std::vector<settings::Node> nodes = settings::parseKdl(file, text);
+    for (const auto& [path, value] : changes) {
+        const auto at = path.find('@');
+        if (at == std::string::npos || at == 0 || at + 1 == path.size())
+            throw std::invalid_argument("'" + path + "': a setting is named as NODE/NODE@PROPERTY");
+        settings::Value now;
+        const auto read = settings::timeOf(value) ? std::vector<settings::Node>{}
+                                                  : settings::parseKdl("a value", "v " + value);
+        if (read.size() == 1 && read[0].arguments.size() == 1)
+            now = read[0].arguments[0];
+        else
+            now.is = value;
+        std::vector<settings::Node*> here;
+        for (settings::Node& n : nodes) here.push_back(&n);
+        std::string rest = path.substr(0, at);
+        for (;;) {
+            const auto slash = rest.find('/');
+            std::string name = rest.substr(0, slash);
+            std::optional<std::string> only;
+            if (const auto bracket = name.find('['); bracket != std::string::npos && name.back() == ']') {
+                only = name.substr(bracket + 1, name.size() - bracket - 2);
+                name.resize(bracket);
+            }
+            std::erase_if(here, [&](const settings::Node* n) {
+                if (n->name != name) return true;
+                if (!only) return false;
+                const auto* text =
+                    n->arguments.empty() ? nullptr : std::get_if<std::string>(&n->arguments.front().is);
+                return !text || *text != *only;
+            });
+            if (slash == std::string::npos) break;
+            rest = rest.substr(slash + 1);
+            std::vector<settings::Node*> within;
+            for (settings::Node* n : here)
+                for (settings::Node& child : n->children) within.push_back(&child);
+            here = std::move(within);
+        }
+        if (here.empty()) throw std::invalid_argument("'" + path + "': " + file + " has no such node");
+        for (settings::Node* n : here) {
+            const std::string property = path.substr(at + 1);
+            const auto it = std::find_if(n->properties.begin(), n->properties.end(),
+                                         [&](const auto& p) { return p.first == property; });
+            if (it == n->properties.end())
+                n->properties.emplace_back(property, now);
+            else
+                it->second = now;
+        }
+    }
+    return settings::printKdl(nodes);
+}
+
 Day readDay(const settings::Document& document) {
     Day day;
     Cursor top(document);
@@ -136,25 +268,43 @@
         crowd.smallScreens = node.number("small-screens", 0, 1, 0);
         crowd.honours = node.number("honours", 0, 1, 1);
         crowd.returns = static_cast<int>(node.whole("returns", 0, 1'000, 1));
-        for (Cursor& room : node.each("room")) {
-            const std::string name = room.argument("a room type");
-            const auto id = day.rooms.find(name);
-            if (!id) room.wrong("room type '" + name + "' is not among the site's");
-            const RoomType& r = day.rooms.types[id->v];
-            crowd.rooms.push_back(
-                {room.number("part", 0, 1e6, 1),
-                 {name, day.rooms.clientTimeouts[id->v], r.joinObjective, r.paid, r.benefit}});
-            room.finish();
-        }
-        if (crowd.rooms.empty()) node.wrong("a crowd is expected to name rooms: room \"NAME\" part=...");
-        const double zipf = node.number("zipf", 0, 5, 0.8);
-        std::size_t rank = 1;
-        for (const auto& [title, talk] : talks)
-            crowd.titles.emplace_back(1 / std::pow(static_cast<double>(rank++), zipf), title);
+        crowd.rooms = roomsOf(node, day);
+        crowd.titles = titlesOf(node, talks);
         node.finish();
         day.crowds.push_back(std::move(crowd));
     }
 
+    if (auto node = top.one("members")) {
+        for (Cursor& one : node->each("member")) {
+            Member m;
+            m.name = one.argument("its name");
+            m.linkKb = one.number("link-kb", 0.1, 1e9);
+            m.part = one.number("part", 0, 1e6, 1);
+            one.finish();
+            day.members.push_back(m);
+        }
+        node->finish();
+    }
+    for (Cursor& node : top.each("audience")) day.audiences.push_back(readAudience(node, day, talks));
+
+    for (Cursor& node : top.each("callers")) {
+        Callers c;
+        c.callers = static_cast<int>(node.whole("callers", 0, 1'000'000));
+        c.at = node.time("at", 0, kDay, 0);
+        c.over = node.time("over", 1, kDay);
+        c.talkLeast = node.time("talk-least", 0, kDay);
+        c.talkMost = node.time("talk-most", c.talkLeast, kDay);
+        c.t1 = node.time("t1", 10'000, kSecond, 500'000);
+        c.cancels = node.number("cancels", 0, 1, 0);
+        c.weather.lose = node.number("lose", 0, 1, 0);
+        c.weather.twice = node.number("twice", 0, 1, 0);
+        c.weather.delayMost = node.time("delay", 0, 10 * kSecond, 0);
+        c.rooms = roomsOf(node, day);
+        c.titles = titlesOf(node, talks);
+        node.finish();
+        day.callers.push_back(std::move(c));
+    }
+
     std::set<std::string, std::less<>> names;
     for (const TroubleKind& k : troubleKinds()) names.insert(k.name);
     for (Cursor& node : top.each("trouble")) {
@@ -172,6 +322,9 @@
         for (const int box : numbersOf(node, "box", day.boxes)) t.boxes.push_back(box);
         for (const int rack : numbersOf(node, "rack", day.machines.fleet.racks)) t.boxes.push_back(rack);
         for (const int front : numbersOf(node, "front", day.fronts)) t.boxes.push_back(front);
+        if (!day.members.empty())
+            for (const int member : numbersOf(node, "member", static_cast<int>(day.members.size())))
+                t.boxes.push_back(member);
         node.finish();
         day.troubles.push_back(std::move(t));
     }
--- a/src/rehearse/day.hpp
+++ b/src/rehearse/day.hpp
@@ -5,9 +5,11 @@
 #include <vector>
 
 #include "audit/audit.hpp"
+#include "crowd/arrivals.hpp"
 #include "settings/reading.hpp"
 #include "settings/site.hpp"
 #include "standins/box.hpp"
+#include "standins/caller.hpp"
 #include "standins/player.hpp"
 
 namespace valekeel::rehearse {
@@ -37,6 +39,43 @@
     int returns = 1;
 };
 
+// Callers, who speak SIP over datagrams through a network of their own.
+struct Callers {
+    int callers = 0;
+    Micros over = 0, at = 0;
+    std::vector<std::pair<double, standins::PlayerRoom>> rooms;
+    std::vector<std::pair<double, std::string>> titles;
+    Micros talkLeast = 0, talkMost = 0, t1 = 0;
+    double cancels = 0;  // the part of them that cancel, within a second
+    standins::Weather weather;
+};
+
+struct Member {
+    std::string name;
+    double linkKb = 0, part = 1;  // of the audience
+};
+
+// A modelled crowd: viewers who come by a stream, watch through their member's link, and have a patience.
+struct Audience {
+    double rate = 0, swing = 0;  // a second; up and down by that part of it
+    Micros at = 0, until = 0, period = 0;
+    std::vector<crowd::Flash> flashes;
+    struct Train {
+        int viewers = 0, member = 0;
+        Micros at = 0, over = 0;
+    };
+    std::vector<Train> trains;
+    int member = -1;  // all of them watch through this one's link; -1: by the members' parts
+    std::vector<std::pair<double, standins::PlayerRoom>> rooms;
+    std::vector<std::string> titles;
+    double zipf = 0.8, hot = 0;
+    Micros watchMedian = 0, patience = 0, back = 0;
+    double watchSigma = 0, stallWeight = 0;
+    double badHints = 0, smallScreens = 0, honours = 1, atOnce = 0, ownAbr = 0;
+    int returns = 1;
+    Micros startWith = 0, bufferMost = 0;
+};
+
 struct Day {
     std::string name;
     Micros length = 0;
@@ -49,10 +88,20 @@
     settings::Machines machines;
     audit::Terms terms;
     std::vector<Crowd> crowds;
+    std::vector<Callers> callers;
+    std::vector<Member> members;
+    std::vector<Audience> audiences;
     std::vector<DayTrouble> troubles;
     std::vector<settings::Node> siteNodes;  // handed on to each front's settings as they are
 };
 
+// A day's text with some of its settings changed: "crowd@players" is a property of each node crowd at the
+// top, "site/fleet@uplink-kb" one of a node within, "members/member[far]@link-kb" one of those whose first
+// argument is that. Throws std::invalid_argument where nothing of that name is there, settings::Wrong where
+// the text is no KDL.
+std::string withSettings(const std::string& file, const std::string& text,
+                         const std::vector<std::pair<std::string, std::string>>& changes);
+
 // Throws settings::Wrong.
 Day readDay(const settings::Document&);
 
--- a/src/rehearse/drill.cpp
+++ b/src/rehearse/drill.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <boost/histogram.hpp>
+#include <chrono>
 #include <cmath>
-#include <filesystem>
-#include <fstream>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
 
-#include "net/epoll.hpp"
-#include "net/process.hpp"
+#include "rehearse/house.hpp"
 #include "standins/list.hpp"
 
 namespace valekeel::rehearse {
@@ -17,15 +16,14 @@
 
 using standins::Line;
 
-// One front as a process, under a name that stays over its lives.
-struct FrontProcess {
-    std::string name, settings, portFile;
-    net::Process process;
-    std::optional<net::Endpoint> at;
+// One front under a name that stays over its lives.
+struct FrontHere {
+    std::string name;
+    std::unique_ptr<FrontLife> life;
+    std::optional<net::Endpoint> at, sip;
     Micros downSince = 0;
     bool down = true;
-    int life = 0;
-    double cpu = 0;
+    int lives = 0;
 };
 
 class Drill {
@@ -34,35 +32,45 @@
         : day_(day),
           ways_(ways),
           ledger_(ledger),
-          net_(day.seed),
+          house_(ways.real ? realHouse(ways.program, ways.folder, day.seed)
+                           : virtualHouse(ways.folder, day.seed)),
+          net_(house_->net()),
           chance_(day.seed),
+          crowdChance_(static_cast<std::knuth_b::result_type>(day.seed + 77)),
           fleet_(net_, day.make, day.machines.fleet.racks, day.machines.fleet.uplinkKb, day.seed + 1, ledger),
-          list_(net_, loopback(), ledger),
+          list_(net_, house_->boxAt(), ledger),
           watch_(net_, [this] { watch(); }) {}
 
     DrillResult run() {
-        net::raiseDescriptorLimit();
         for (int id = 0; id < day_.boxes; ++id) {
             const double link =
                 day_.machines.fleet.sizesTold ? day_.machines.fleet.linkKbPerSize : day_.linkKb;
             fleet_.add(id, id % day_.machines.fleet.cells, link, day_.machines.fleet.places.front(),
-                       loopback());
+                       house_->boxAt());
             tell(id, "on");
         }
+        if (!day_.members.empty()) {
+            std::vector<double> links;
+            for (const Member& m : day_.members) links.push_back(m.linkKb);
+            fleet_.pave(links, [this](const std::string& trace) {
+                const auto it = memberOf_.find(trace);
+                return it == memberOf_.end() ? -1 : it->second;
+            });
+        }
         fronts_.resize(static_cast<std::size_t>(day_.fronts));
         for (std::size_t i = 0; i < fronts_.size(); ++i) startFront(i);
         watch_.after(0);
         const Micros limit = net_.now() + 20 * kSecond;
         while (net_.now() < limit &&
                !std::all_of(fronts_.begin(), fronts_.end(), [](const auto& f) { return f.at.has_value(); }))
-            net_.turn(20'000);
-        for (Micros settle = net_.now() + 500'000; net_.now() < settle;) net_.turn(50'000);
+            house_->turn(20'000);
+        for (Micros settle = net_.now() + 500'000; net_.now() < settle;) house_->turn(50'000);
 
         begun_ = net_.now();
         plan();
         const Micros end = begun_ + day_.length;
         while (net_.now() < end) {
-            net_.turn(100'000);
+            house_->turn(100'000);
             const auto second = (net_.now() - begun_) / (5 * kSecond);
             if (second != lastSaid_) {
                 lastSaid_ = second;
@@ -72,17 +80,20 @@
         }
         // Who is still watching goes; nobody comes any more. What is asked for is still answered.
         closing_ = true;
-        const Micros last = net_.now() + 8 * kSecond;
-        while (net_.now() < last && active_ > 0) net_.turn(50'000);
-        for (FrontProcess& f : fronts_) f.process.askToStop();
+        for (auto& player : players_) player->endSoon();
+        const Micros last = net_.now() + (day_.callers.empty() ? 8 : 20) * kSecond;
+        while (net_.now() < last && active_ > 0) house_->turn(50'000);
+        for (FrontHere& f : fronts_) f.life->askToStop();
         const Micros until = net_.now() + 5 * kSecond;
         while (net_.now() < until &&
-               std::any_of(fronts_.begin(), fronts_.end(), [](auto& f) { return f.process.running(); }))
-            net_.turn(50'000);
+               std::any_of(fronts_.begin(), fronts_.end(), [](auto& f) { return f.life->running(); }))
+            house_->turn(50'000);
         DrillResult result;
-        for (FrontProcess& f : fronts_) {
-            f.process.kill();
-            result.frontCpu += f.cpu + f.process.cpuSeconds();
+        result.secondsTaken =
+            std::chrono::duration<double>(std::chrono::steady_clock::now() - startedReal_).count();
+        for (FrontHere& f : fronts_) {
+            f.life->kill();
+            result.frontCpu += f.life->cpuSeconds();
             if (f.down) down_.emplace(f.name, std::pair{f.downSince, net_.now()});
         }
         result.troublesAtOnce = mostAtOnce();
@@ -101,57 +112,43 @@
     }
 
   private:
-    static net::Endpoint loopback() { return *net::endpointOf("127.0.0.1:0"); }
-
     // ---- fronts ----
     void startFront(std::size_t i) {
-        FrontProcess& f = fronts_[i];
+        FrontHere& f = fronts_[i];
         f.name = "front" + std::to_string(i);
+        if (!f.life) f.life = house_->front(static_cast<int>(i), f.name);
         const std::string base = ways_.folder + "/" + f.name;
-        if (f.life++ == 0) {
-            f.settings = base + ".kdl";
-            f.portFile = base + ".port";
-            std::ofstream out(f.settings);
-            out << "front \"" << f.name << "\" fronts=" << day_.fronts << " stop-within=\"2s\"\n"
-                << settings::printKdl(day_.siteNodes) << "http listen=\"127.0.0.1:0\"\n"
-                << "list stream=\"" << net::text(list_.at()) << "\" path=\"/boxes?front=" << f.name
-                << "\" keep=\"" << base << ".list\" silent-for=\"4s\"\n"
-                << "log file=\"" << base << ".log\"\n";
-        }
-        std::filesystem::remove(f.portFile);
-        std::vector<std::string> args{
-            ways_.program,
-            "serve",
-            f.settings,
-            "--port-file",
-            f.portFile,
-            "--seed",
-            std::to_string(day_.seed * 100 + i * 10 + static_cast<std::size_t>(f.life))};
-        if (!ways_.decisions.empty()) {
-            args.push_back("--decisions");
-            args.push_back(ways_.decisions);
-        }
-        f.process = net::Process(args);
+        const std::string here = net::text(house_->boxAt());
+        std::ostringstream out;
+        out << "front \"" << f.name << "\" fronts=" << day_.fronts << " stop-within=\"2s\"\n"
+            << settings::printKdl(day_.siteNodes) << "http listen=\"" << here << "\"\n"
+            << "list stream=\"" << net::text(list_.at()) << "\" path=\"/boxes?front=" << f.name
+            << "\" keep=\"" << base << ".list\" silent-for=\"4s\"\n"
+            << "log file=\"" << base << ".log\"" << (ways_.real ? "" : " level=\"warning\"") << "\n";
+        if (!day_.callers.empty())
+            out << "sip listen=\"" << here << "\" t1=\"" << day_.callers.front().t1 / 1000 << "ms\" t2=\""
+                << 8 * day_.callers.front().t1 / 1000
+                << "ms\" min-session=\"4s\" session=\"8s\" hold-every=\"1s\" hold-within=\"1s\"\n";
+        f.life->start(out.str(), day_.seed * 100 + i * 10 + static_cast<std::uint64_t>(++f.lives),
+                      ways_.decisions);
         f.at.reset();
     }
     void watch() {
         watch_.after(50'000);
-        for (FrontProcess& f : fronts_) {
+        for (FrontHere& f : fronts_) {
             if (f.at) continue;
-            std::ifstream in(f.portFile);
-            std::string text;
-            if (!std::getline(in, text)) continue;
-            if ((f.at = net::endpointOf(text)) && f.down) {
+            if (!day_.callers.empty()) f.sip = f.life->sip();
+            if ((f.at = f.life->http()) && f.down) {
                 if (f.downSince > 0) down_.emplace(f.name, std::pair{f.downSince, net_.now()});
                 f.down = false;
             }
         }
     }
-    void frontIsDown(FrontProcess& f) {
+    void frontIsDown(FrontHere& f) {
         f.downSince = net_.now();
         f.down = true;
         f.at.reset();
-        std::filesystem::remove(f.portFile);  // else its old place would be taken for a new one
+        f.sip.reset();
     }
 
     // ---- the list ----
@@ -170,8 +167,8 @@
 
     // ---- players ----
     std::optional<standins::Player::FrontAt> pickFront() {
-        std::vector<const FrontProcess*> up;
-        for (const FrontProcess& f : fronts_)
+        std::vector<const FrontHere*> up;
+        for (const FrontHere& f : fronts_)
             if (f.at) up.push_back(&f);
         if (up.empty() || closing_) return std::nullopt;
         const auto& f = *up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(chance_)];
@@ -179,16 +176,10 @@
     }
 
     standins::PlayerPlan planOf(const Crowd& crowd) {
-        std::vector<double> rooms, titles;
-        for (const auto& [part, room] : crowd.rooms) rooms.push_back(part);
-        for (const auto& [weight, title] : crowd.titles) titles.push_back(weight);
         const auto roll = [&] { return std::uniform_real_distribution<double>(0, 1)(chance_); };
         standins::PlayerPlan plan;
-        plan.room =
-            crowd.rooms[std::discrete_distribution<std::size_t>(rooms.begin(), rooms.end())(chance_)].second;
-        plan.title =
-            crowd.titles[std::discrete_distribution<std::size_t>(titles.begin(), titles.end())(chance_)]
-                .second;
+        plan.room = oneOf(crowd.rooms);
+        plan.title = oneOf(crowd.titles);
         plan.watch = std::uniform_int_distribution<Micros>(crowd.watchLeast, crowd.watchMost)(chance_);
         plan.returns = crowd.returns;
         plan.honours = roll() < crowd.honours;
@@ -205,6 +196,58 @@
         return plan;
     }
 
+    standins::PlayerPlan planOf(const Audience& a, int member) {
+        const auto roll = [&] { return crowd::unit(crowdChance_); };
+        standins::PlayerPlan plan;
+        std::vector<double> parts;
+        for (const auto& [part, room] : a.rooms) parts.push_back(part);
+        plan.room =
+            a.rooms[std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(crowdChance_)].second;
+        plan.title = a.titles[crowd::Zipf(a.titles.size(), a.zipf, a.hot).draw(crowdChance_)];
+        plan.watch = crowd::lognormal(a.watchMedian, a.watchSigma, 6, crowdChance_);
+        plan.returns = a.returns;
+        plan.back = a.back;
+        plan.honours = roll() < a.honours;
+        plan.atOnce = roll() < a.atOnce;
+        plan.member = member;
+        plan.patience.emplace(a.patience, a.stallWeight, -std::log(1 - roll()));
+        plan.startWith = a.startWith;
+        plan.bufferMost = a.bufferMost;
+        plan.hints = roll() < a.badHints ? standins::HintStyle::None
+                     : roll() < 0.5      ? standins::HintStyle::Headers
+                                         : standins::HintStyle::Query;
+        if (roll() < a.smallScreens && day_.ladder.kb.size() > 1)
+            plan.topKbits = std::llround(day_.ladder.kb[day_.ladder.kb.size() - 2] * 8);
+        if (roll() < a.ownAbr) plan.ownLadderKb = day_.ladder.kb;
+        if (member >= 0)
+            plan.asking = [this, member](const std::string& trace) { memberOf_[trace] = member; };
+        return plan;
+    }
+    int someMember() {
+        if (day_.members.empty()) return -1;
+        std::vector<double> parts;
+        for (const Member& m : day_.members) parts.push_back(m.part);
+        return static_cast<int>(
+            std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(crowdChance_));
+    }
+    void comeOne(const Audience& a, int member) {
+        const int number = static_cast<int>(players_.size());
+        players_.push_back(std::make_unique<standins::Player>(
+            house_->netOf(member), number, planOf(a, member), [this] { return pickFront(); }, crowdChance_(),
+            day_.ladder.worth, ledger_, [this](standins::Player&) { --active_; }));
+        ++active_;
+        players_.back()->start();
+    }
+    void nextOf(const Audience& a, Micros after) {
+        const crowd::Arrivals stream(a.rate, a.at, a.until, a.swing, a.period, a.flashes);
+        const auto when = stream.next(after, crowdChance_);
+        if (!when) return;
+        at(*when, [this, &a, when] {
+            comeOne(a, a.member >= 0 ? a.member : someMember());
+            nextOf(a, *when);
+        });
+    }
+
     void comeOne(const Crowd& crowd) {
         const int number = static_cast<int>(players_.size());
         players_.push_back(std::make_unique<standins::Player>(
@@ -214,6 +257,38 @@
         players_.back()->start();
     }
 
+    void callOne(const Callers& some) {
+        std::vector<const FrontHere*> up;
+        for (const FrontHere& f : fronts_)
+            if (f.sip) up.push_back(&f);
+        if (up.empty() || closing_) return;
+        const FrontHere& f = *up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(chance_)];
+        const auto roll = [&] { return std::uniform_real_distribution<double>(0, 1)(chance_); };
+        const standins::PlayerRoom& room = oneOf(some.rooms);
+        standins::CallPlan plan;
+        plan.title = oneOf(some.titles);
+        plan.room = room.name;
+        plan.timeout = room.clientTimeout;
+        plan.talk = std::uniform_int_distribution<Micros>(some.talkLeast, some.talkMost)(chance_);
+        plan.t1 = some.t1;
+        plan.sessionExpires = 8 * kSecond;
+        if (roll() < some.cancels)
+            plan.cancelAfter = std::uniform_int_distribution<Micros>(1, kSecond)(chance_);
+        ++active_;
+        // Their numbers lie behind those of all players.
+        callers_.push_back(std::make_unique<standins::Caller>(
+            net_, 1'000'000 + static_cast<int>(callers_.size()), *f.sip, f.name, plan, some.weather,
+            chance_(), ledger_, [this] { --active_; }));
+        callers_.back()->start();
+    }
+
+    template <class What>
+    const What& oneOf(const std::vector<std::pair<double, What>>& all) {
+        std::vector<double> parts;
+        for (const auto& [part, what] : all) parts.push_back(part);
+        return all[std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(chance_)].second;
+    }
+
     void at(Micros when, std::function<void()> what) {
         timers_.push_back(std::make_unique<net::Timer>(net_, std::move(what)));
         timers_.back()->at(begun_ + when);
@@ -225,6 +300,17 @@
             for (int i = 0; i < crowd.players; ++i)
                 at(crowd.at + std::uniform_int_distribution<Micros>(0, crowd.over)(chance_),
                    [this, &crowd] { comeOne(crowd); });
+        for (const Audience& a : day_.audiences) {
+            nextOf(a, 0);
+            for (const Audience::Train& t : a.trains)
+                for (int i = 0; i < t.viewers; ++i)
+                    at(t.at + static_cast<Micros>(crowd::unit(crowdChance_) * static_cast<double>(t.over)),
+                       [this, &a, &t] { comeOne(a, t.member); });
+        }
+        for (const Callers& some : day_.callers)
+            for (int i = 0; i < some.callers; ++i)
+                at(some.at + std::uniform_int_distribution<Micros>(0, some.over)(chance_),
+                   [this, &some] { callOne(some); });
         for (const DayTrouble& t : day_.troubles) {
             at(t.at, [this, &t] {
                 ways_.say("trouble: " + t.kind);
@@ -299,6 +385,9 @@
             for (auto& [id, b] : fleet_.boxes()) b->trouble.linkFactor = 1 / t.size;
         if (k == "uplink-weak")
             for (const int rack : t.boxes) fleet_.uplinkFactor[static_cast<std::size_t>(rack)] = 1 / t.size;
+        if (k == "member-weak" || k == "member-cut")
+            for (const int m : t.boxes)
+                fleet_.memberFactor[static_cast<std::size_t>(m)] = k == "member-cut" ? 0 : 1 / t.size;
         if (k == "reports-late")
             for (auto& [id, b] : fleet_.boxes()) b->trouble.reportsLate = t.time;
         if (k == "list-unreachable") list_.unreachable(true);
@@ -308,19 +397,18 @@
         if (k == "list-cut") list_.cutShort();
         if (k == "front-dies")
             for (const int i : t.boxes) {
-                FrontProcess& f = fronts_[static_cast<std::size_t>(i)];
-                f.process.kill();
-                f.cpu += f.process.cpuSeconds();
+                FrontHere& f = fronts_[static_cast<std::size_t>(i)];
+                f.life->kill();
                 frontIsDown(f);
             }
         if (k == "front-stops")
             for (const int i : t.boxes) {
-                FrontProcess& f = fronts_[static_cast<std::size_t>(i)];
-                f.process.askToStop();
+                FrontHere& f = fronts_[static_cast<std::size_t>(i)];
+                f.life->askToStop();
                 frontIsDown(f);  // it answers what it took, and is not asked any more; it ends by itself
             }
         if (k == "front-stalls")
-            for (const int i : t.boxes) fronts_[static_cast<std::size_t>(i)].process.standStill();
+            for (const int i : t.boxes) fronts_[static_cast<std::size_t>(i)].life->standStill();
         if (k == "rush" && !day_.crowds.empty()) {
             const auto more = static_cast<int>(t.size);
             for (int i = 0; i < more; ++i)
@@ -359,6 +447,8 @@
             for (auto& [id, b] : fleet_.boxes()) b->trouble.linkFactor = 1;
         if (k == "uplink-weak")
             for (const int rack : t.boxes) fleet_.uplinkFactor[static_cast<std::size_t>(rack)] = 1;
+        if (k == "member-weak" || k == "member-cut")
+            for (const int m : t.boxes) fleet_.memberFactor[static_cast<std::size_t>(m)] = 1;
         if (k == "reports-late")
             for (auto& [id, b] : fleet_.boxes()) b->trouble.reportsLate = 0;
         if (k == "list-unreachable") list_.unreachable(false);
@@ -367,17 +457,16 @@
         if (k == "list-skips") list_.skips = false;
         if (k == "front-dies" || k == "front-stops")
             for (const int i : t.boxes) {
-                FrontProcess& f = fronts_[static_cast<std::size_t>(i)];
+                FrontHere& f = fronts_[static_cast<std::size_t>(i)];
                 if (k == "front-stops") {
-                    f.process.kill();  // it had its time to stop
-                    f.cpu += f.process.cpuSeconds();
+                    f.life->kill();  // it had its time to stop
                 }
                 startFront(static_cast<std::size_t>(i));
             }
         if (k == "front-stalls")
             for (const int i : t.boxes) {
-                FrontProcess& f = fronts_[static_cast<std::size_t>(i)];
-                f.process.goOn();
+                FrontHere& f = fronts_[static_cast<std::size_t>(i)];
+                f.life->goOn();
                 down_.emplace(f.name, std::pair{begun_ + t.at, net_.now()});
             }
     }
@@ -396,14 +485,19 @@
     const Day& day_;
     const DrillWays& ways_;
     standins::Ledger& ledger_;
-    net::EpollNet net_;
+    std::unique_ptr<House> house_;
+    net::Net& net_;
     std::mt19937_64 chance_;
+    std::knuth_b crowdChance_;
+    std::map<std::string, int> memberOf_;  // by trace
+    std::chrono::steady_clock::time_point startedReal_ = std::chrono::steady_clock::now();
     standins::BoxFleet fleet_;
     standins::ListServer list_;
     net::Timer watch_;
-    std::vector<FrontProcess> fronts_;
+    std::vector<FrontHere> fronts_;
     std::map<int, Micros> launched_;
     std::vector<std::unique_ptr<standins::Player>> players_;
+    std::vector<std::unique_ptr<standins::Caller>> callers_;
     std::deque<std::unique_ptr<net::Timer>> timers_;
     std::vector<std::tuple<Micros, Micros, std::set<int>>> lies_;
     audit::Down down_;
@@ -430,6 +524,30 @@
     for (const RoomType& r : day.rooms.types) benefit[r.name] = r.benefit;
     std::set<std::string> paidSubs;
     double wanted = 0, got = 0;
+    struct Part {
+        double asked = 0, served = 0, wanted = 0, got = 0;
+    };
+    std::map<int, Part> members;
+    std::map<std::string, Part> roomParts;
+    std::map<Micros, Part> tens;
+    const Micros begin = ledger.lines().empty() ? 0 : ledger.lines().front().at;
+    const auto second = [&](const Line& l) -> DrillResult::Second& {
+        const auto i = static_cast<std::size_t>((l.at - begin) / kSecond);
+        if (result.course.size() <= i) result.course.resize(i + 1);
+        return result.course[i];
+    };
+    const auto askedNow = [&](const Line& l) {
+        members[l.member].asked += benefit[l.room];
+        roomParts[l.room].asked += benefit[l.room];
+        tens[l.at / (10 * kSecond)].asked += benefit[l.room];
+        benefitAsked += benefit[l.room];
+    };
+    const auto servedNow = [&](const Line& ask) {
+        members[ask.member].served += benefit[ask.room];
+        roomParts[ask.room].served += benefit[ask.room];
+        tens[ask.at / (10 * kSecond)].served += benefit[ask.room];
+        benefitServed += benefit[ask.room];
+    };
     const Micros dayEnd = ledger.lines().empty() ? 0 : ledger.lines().back().at;
     for (const Line& l : ledger.lines()) {
         const auto room = day.terms.rooms.find(l.room);
@@ -437,7 +555,22 @@
         if (l.what == "ask") {
             ++result.asked;
             asked[l.trace] = &l;
-            if (l.attempt == 1) benefitAsked += benefit[l.room];
+            ++second(l).asked;
+            if (l.attempt == 1) {
+                ++result.firstAsks;
+                askedNow(l);
+            }
+        } else if (l.what == "answer" && l.face == "sip") {
+            // How long it took says nothing of the front: the weather is in it.
+            ++result.calls[l.status];
+            const auto ask = asked.find(l.trace);
+            if (l.status == 200) {
+                ++result.played;
+                if (paid) paidSubs.insert(l.trace);
+                if (ask != asked.end()) servedNow(*ask->second);
+            } else {
+                ++(l.status == 486 || l.status == 503 ? result.throttled : result.terminated);
+            }
         } else if (l.what == "answer") {
             auto& h = times
                           .try_emplace(
@@ -450,12 +583,15 @@
             t.max = std::max(t.max, static_cast<Micros>(l.number));
             if (l.status == 200) {
                 ++result.played;
+                ++second(l).played;
                 if (paid) paidSubs.insert(l.trace);
                 const auto ask = asked.find(l.trace);
                 if (ask != asked.end() && l.attempt == 1 && l.number <= ask->second->number)
-                    benefitServed += benefit[l.room];
+                    servedNow(*ask->second);
             } else if (l.status == 503) {
                 ++result.throttled;
+                ++second(l).throttled;
+                ++(l.told ? result.throttledTold : result.throttledUntold);
             } else {
                 ++result.terminated;
             }
@@ -463,13 +599,17 @@
             ++result.twice;
         } else if (l.what == "no-answer") {
             ++result.excused;
+            if (l.face == "sip") ++result.calls[0];
         } else if (l.what == "charged" && paid) {
             ++result.paidSetUps;
         } else if (l.what == "arrive") {
             ++result.joinsAt[l.box];
         } else if (l.what == "wants") {
-            wanted += benefit[l.room] *
-                      std::min(l.number, static_cast<double>(std::max<Micros>(0, dayEnd - l.at))) / 1e6;
+            const double much = benefit[l.room] *
+                                std::min(l.number, static_cast<double>(std::max<Micros>(0, dayEnd - l.at))) /
+                                1e6;
+            wanted += much;
+            members[l.member].wanted += much;
         } else if (l.what == "segment" && l.player >= 0) {
             ++result.segments;
             const double missing =
@@ -477,8 +617,19 @@
             const double worth = l.rung >= 0 && l.rung < static_cast<int>(day.ladder.worth.size())
                                      ? day.ladder.worth[static_cast<std::size_t>(l.rung)]
                                      : 0;
-            got += benefit[l.room] * seconds(day.make.segment) * worth *
-                   std::max(0.0, 1 - day.ladder.stallLoss * missing);
+            const double much = benefit[l.room] * seconds(day.make.segment) * worth *
+                                std::max(0.0, 1 - day.ladder.stallLoss * missing);
+            got += much;
+            members[l.member].got += much;
+        } else if (l.what == "stall") {
+            ++result.stalls;
+            result.stallSeconds += l.number / 1e6;
+        } else if (l.what == "switch") {
+            ++result.switches;
+        } else if (l.what == "abandon") {
+            ++result.abandoned;
+        } else if (l.what == "return") {
+            ++result.returns;
         } else if (l.what == "segment-lost") {
             ++result.lost;
         } else if (l.what == "gap") {
@@ -487,6 +638,20 @@
     }
     result.quality = wanted > 0 ? got / wanted : 0;
     result.paidSubs = paidSubs.size();
+    for (const auto& [number, part] : members) {
+        if (number < 0 || part.asked <= 0) continue;
+        result.byMember[day.members[static_cast<std::size_t>(number)].name] = {
+            part.served / part.asked, part.wanted > 0 ? part.got / part.wanted : 0};
+    }
+    for (const auto& [room, part] : roomParts) {
+        const double service = part.asked > 0 ? part.served / part.asked : 1;
+        if (!result.worstRoom.empty() && service >= result.worstRoomService) continue;
+        result.worstRoom = room;
+        result.worstRoomService = service;
+    }
+    for (const auto& [ten, part] : tens)
+        if (part.asked > 0)
+            result.worstTenSeconds = std::min(result.worstTenSeconds, part.served / part.asked);
     result.service = benefitAsked > 0 ? benefitServed / benefitAsked : 0;
     for (auto& [room, h] : times) {
         double total = 0;
@@ -514,6 +679,21 @@
     out.precision(3);
     out << r.service << ", quality " << r.quality << ", segments " << r.segments << ", lost " << r.lost
         << ", gaps " << r.gaps << ", CPU of all fronts " << r.frontCpu << " s\n";
+    out << "worst 10 s " << r.worstTenSeconds << ", worst served room type " << r.worstRoom << " "
+        << r.worstRoomService << ", stalls " << r.stalls << " (" << r.stallSeconds << " s), switches "
+        << r.switches << ", given up " << r.abandoned << ", returns " << r.returns
+        << ", throttled with a time " << r.throttledTold << ", without " << r.throttledUntold << "\n";
+    for (const auto& [member, part] : r.byMember)
+        out << "member " << member << ": service " << part.first << ", quality " << part.second << "\n";
+    if (!r.calls.empty()) {
+        out << "calls:";
+        const char* part = " ";
+        for (const auto& [status, many] : r.calls) {
+            out << part << many << (status ? " answered " + std::to_string(status) : " not answered");
+            part = ", ";
+        }
+        out << "\n";
+    }
     for (const auto& [room, t] : r.toAnswer)
         out << "time to answer, " << room << ": p50 " << t.p50 / 1000 << " ms, p99 " << t.p99 / 1000
             << " ms, max " << t.max / 1000 << " ms (" << t.count << ")\n";
@@ -532,4 +712,45 @@
     return out.str();
 }
 
+std::string asJson(const DrillResult& r) {
+    nlohmann::ordered_json j{
+        {"asked", r.asked},
+        {"played", r.played},
+        {"throttled", r.throttled},
+        {"terminated", r.terminated},
+        {"twice", r.twice},
+        {"never", r.never},
+        {"paid-set-ups", r.paidSetUps},
+        {"paid-subscriptions", r.paidSubs},
+        {"service", r.service},
+        {"quality", r.quality},
+        {"worst-10s", r.worstTenSeconds},
+        {"worst-room", r.worstRoomService},
+        {"segments", r.segments},
+        {"lost", r.lost},
+        {"stalls", r.stalls},
+        {"stall-seconds", r.stallSeconds},
+        {"switches", r.switches},
+        {"given-up", r.abandoned},
+        {"returns", r.returns},
+        {"throttled-told", r.throttledTold},
+        {"throttled-untold", r.throttledUntold},
+        {"front-cpu", r.frontCpu},
+        {"cpu-us-an-ask", r.asked ? r.frontCpu * 1e6 / static_cast<double>(r.asked) : 0},
+        {"asks-a-viewer", r.firstAsks ? static_cast<double>(r.asked) / static_cast<double>(r.firstAsks) : 0},
+        {"breaches", r.breaches.size()},
+        {"real-seconds", r.secondsTaken}};
+    for (const auto& [member, part] : r.byMember) {
+        j["service." + member] = part.first;
+        j["quality." + member] = part.second;
+    }
+    for (const auto& [room, t] : r.toAnswer) {
+        j["p50-ms." + room] = static_cast<double>(t.p50) / 1000;
+        j["p99-ms." + room] = static_cast<double>(t.p99) / 1000;
+    }
+    auto& course = j["course"] = nlohmann::ordered_json::array();
+    for (const auto& s : r.course) course.push_back({s.asked, s.played, s.throttled});
+    return j.dump();
+}
+
 }  // namespace valekeel::rehearse
--- a/src/settings/reading.cpp
+++ b/src/settings/reading.cpp
@@ -320,6 +320,17 @@
     return out;
 }
 
+std::vector<std::string> Cursor::asWritten() {
+    askedArguments_ = true;
+    std::vector<std::string> out;
+    if (!node_) return out;
+    for (const Value& v : node_->arguments) {
+        const auto* s = std::get_if<std::string>(&v.is);
+        out.push_back(s ? *s : printed(v));
+    }
+    return out;
+}
+
 void Cursor::finish() {
     const auto hint = [](std::string_view name, const auto& known) {
         const std::string near = nearest(name, known);
--- a/src/settings/reading.hpp
+++ b/src/settings/reading.hpp
@@ -74,6 +74,7 @@
     std::string argument(std::string_view what);
     std::vector<double> numbers(std::string_view what, double least, double most);
     std::vector<std::string> texts(std::string_view what);
+    std::vector<std::string> asWritten();  // of any kind: strings as they are, others as they are written
 
     void finish();
     [[noreturn]] void wrong(const std::string& what) const;
--- a/src/sip/overload.cpp
+++ b/src/sip/overload.cpp
@@ -1,25 +1,32 @@
 #include "sip/overload.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace valekeel::sip {
 
-void Overload::look(Micros now, double fill, std::uint64_t came, std::uint64_t served) {
+Refused::Refused(std::size_t places) : places_(std::bit_ceil(std::max<std::size_t>(2, places))) {}
+
+void Overload::look(Micros now, double fill, Micros unread, std::uint64_t came, std::uint64_t served) {
     const double span = seconds(std::max<Micros>(1, now - lookedAt_));
     lookedAt_ = now;
     ++sequence_;
     const double before = loss_;
-    if (fill > terms_.targetFill) {
-        // What is over the target, and what came beyond what was served, both ask for shedding.
-        const double over = (fill - terms_.targetFill) / std::max(0.05, 1 - terms_.targetFill);
-        const double beyond = came > served ? 1 - static_cast<double>(served) /
-                                                      static_cast<double>(std::max<std::uint64_t>(1, came))
-                                            : 0;
-        const double asked = loss_ + (1 - loss_) * std::max(0.25 * over, 0.5 * beyond * over);
-        loss_ = std::min(terms_.most, asked);
-    } else {
-        loss_ *= 0.85;
+    const double late = seconds(unread) / std::max(1e-6, seconds(terms_.targetUnread));
+    if (fill > terms_.targetFill || late > 1) {
+        const double over = std::max((fill - terms_.targetFill) / std::max(0.05, 1 - terms_.targetFill),
+                                     std::min(1.0, (late - 1) / 4));
+        // Let through what was served of what came; if that is what is let through already, a little less.
+        const double pass = 1 - loss_;
+        const double was = came > 0 ? static_cast<double>(served) / static_cast<double>(came) : pass;
+        const double less = was < pass ? pass + 0.5 * over * (was - pass) : pass * (1 - 0.1 * over);
+        loss_ = std::min(terms_.most, 1 - less);
+    } else if (loss_ > 0) {
+        // Back by parts of what passes, so that a tenfold flood is not let in again at a stroke; faster where
+        // little comes.
+        const bool quiet = fill < terms_.targetFill / 2 && came <= served * 2;
+        loss_ = std::max(0.0, 1 - (1 - loss_) * (quiet ? 1.5 : 1.1));
         if (loss_ < 0.01) loss_ = 0;
     }
     const double rateServed = static_cast<double>(served) / span;
--- a/src/sip/overload.hpp
+++ b/src/sip/overload.hpp
@@ -2,13 +2,14 @@
 // those who send to it, and what it turns away itself from those who don't listen. Decides only: no I/O, no
 // clock.
 //
-// The measure is the wait: how long a new INVITE stands before the module is asked, and how much of what may
-// wait is taken. Over the target, the share to be shed rises; under it, it falls slowly, so that it settles
-// without swinging.
+// Two measures: how much of what may wait for an answer is taken (which the gate finds from how long answers
+// take), and how long messages lay unread before this front came to them. Over either's target the share to
+// be shed rises; under both it falls slowly, so that it settles without swinging.
 #pragma once
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "model/ids.hpp"
 
@@ -16,19 +17,33 @@
 
 struct OverloadTerms {
     double targetFill = 0.5;       // of what may wait, at which shedding begins
+    Micros targetUnread = 20'000;  // for which messages may lie unread, likewise
     Micros every = 200'000;        // between looks
     Micros validFor = 1'000'000;   // what is told holds so long (oc-validity)
-    double most = 0.95;            // never all: some must come for it to be seen that it is over
+    double most = 0.98;            // never all: some must come for it to be seen that it is over
     double ratePerSecond = 1'000;  // what is told to rate-based clients at no load
 };
 
+// What was turned away without a transaction, so that each copy of it is turned away too and no request has
+// two final answers. A table of fixed size: a newcomer takes the place of an older one, never of more than
+// one.
+class Refused {
+  public:
+    explicit Refused(std::size_t places);  // rounded up to a power of two
+    void remember(std::uint64_t name) { places_[name & (places_.size() - 1)] = name | 1; }
+    bool knows(std::uint64_t name) const { return places_[name & (places_.size() - 1)] == (name | 1); }
+
+  private:
+    std::vector<std::uint64_t> places_;
+};
+
 class Overload {
   public:
     explicit Overload(const OverloadTerms& terms) : terms_(terms) {}
 
-    // What was seen since the last look: how full the waiting room is, new INVITEs that came, and those that
-    // the front brought to an end with a placement or a reasoned refusal.
-    void look(Micros now, double fill, std::uint64_t came, std::uint64_t served);
+    // What was seen since the last look: how full the waiting room is, how long messages lay unread, new
+    // INVITEs that came, and those that the front brought to an end with a placement or a reasoned refusal.
+    void look(Micros now, double fill, Micros unread, std::uint64_t came, std::uint64_t served);
     // The share of new INVITEs to be shed, 0 to 1.
     double loss() const { return loss_; }
     double rate() const { return rate_; }
--- a/src/standins/box.cpp
+++ b/src/standins/box.cpp
@@ -47,6 +47,11 @@
     }
     ~Job() override {
         if (exchange) exchange->heldBy(nullptr);
+        if (travels) {
+            box.fleet_.roads_->jobs.erase(travels);
+            box.fleet_.roads_->transfers.cancel(box.fleet_.net_.now(), travels);
+            box.fleet_.arrive_.soon();
+        }
     }
     void gone() override {
         exchange = nullptr;
@@ -75,6 +80,7 @@
     double kb = 0;
     double credit = 0;
     std::uint64_t left = 0;
+    crowd::Transfers::Id travels = 0;
 };
 
 Box::Box(BoxFleet& fleet, int id, int cell, int rack, double linkKb, int places, const net::Endpoint& at)
@@ -445,6 +451,38 @@
     job->left = bytes - head.size();
     exchange.begin(status, f, bytes);
     exchange.send(head);
+    if (fleet_.paved() && jobs_.count(jobKey)) travel(*jobs_.at(jobKey));
+}
+
+void Box::travel(Job& job) {
+    BoxFleet::Roads& r = *fleet_.roads_;
+    std::vector<crowd::LinkNo> path{r.boxes.at(id_)};
+    if (!r.racks.empty()) path.push_back(r.racks[static_cast<std::size_t>(rack_)]);
+    const auto sub = subs_.find(job.sub);
+    const int member = sub == subs_.end() ? -1 : r.memberOf(sub->second.trace);
+    if (member >= 0) path.push_back(r.members[static_cast<std::size_t>(member)]);
+    job.travels =
+        r.transfers.begin(fleet_.net_.now(), path, job.kb * 1000 * kPaceOver, static_cast<double>(job.left));
+    r.jobs[job.travels] = {id_, job.key};
+    fleet_.arrive_.soon();
+}
+
+void Box::arrived(std::uint64_t key) {
+    const auto it = jobs_.find(key);
+    if (it == jobs_.end()) return;
+    it->second->travels = 0;
+    http::Exchange* exchange = std::exchange(it->second->exchange, nullptr);
+    std::uint64_t left = it->second->left;
+    if (exchange) exchange->heldBy(nullptr);
+    drop(key);
+    if (!exchange) return;
+    fleet_.sentBytes += left;
+    while (left > 0) {
+        const auto part = std::min<std::uint64_t>(left, filler().size());
+        exchange->send(std::string_view(filler()).substr(0, part));
+        left -= part;
+    }
+    exchange->finish();
 }
 
 // ================= streaming =================
@@ -468,7 +506,7 @@
         fleet_.ledger_.add(l);
         it = subs_.erase(it);
     }
-    if (trouble.silent || now < trouble.pausedUntil) return;
+    if (fleet_.paved() || trouble.silent || now < trouble.pausedUntil) return;
     // All that play here get the same share of their rates, by the narrower of link and uplink.
     const double share =
         std::min({1.0, 1 / std::max(1e-9, linkUse()), 1 / std::max(1e-9, fleet_.uplinkUse(rack_))});
@@ -507,6 +545,7 @@
       chance_(seed),
       ledger_(ledger),
       tick_(net, [this] { tick(); }),
+      arrive_(net, [this] { arrive(); }),
       lastTick_(net.now()) {
     tick_.after(kTick);
 }
@@ -514,6 +553,7 @@
 Box& BoxFleet::add(int id, int cell, double linkKb, int places, const net::Endpoint& at) {
     auto& box = boxes_[id] = std::make_unique<Box>(*this, id, cell, cell % racks_, linkKb, places, at);
     box->start(false);
+    if (roads_) roads_->boxes[id] = roads_->links.addLink(linkKb * 1000);
     return *box;
 }
 
@@ -525,8 +565,57 @@
     return asked / (uplinkKb_ * uplinkFactor[static_cast<std::size_t>(rack)]);
 }
 
+void BoxFleet::pave(const std::vector<double>& memberKb, std::function<int(const std::string&)> memberOf) {
+    roads_ = std::make_unique<Roads>();
+    roads_->memberOf = std::move(memberOf);
+    roads_->memberKb = memberKb;
+    memberFactor.assign(memberKb.size(), 1.0);
+    for (const double kb : memberKb) roads_->members.push_back(roads_->links.addLink(kb * 1000));
+    if (uplinkKb_ > 0)
+        for (int rack = 0; rack < racks_; ++rack)
+            roads_->racks.push_back(roads_->links.addLink(uplinkKb_ * 1000));
+    for (const auto& [id, box] : boxes_) roads_->boxes[id] = roads_->links.addLink(box->linkKb() * 1000);
+}
+
+double BoxFleet::memberUse(int member) {
+    roads_->links.settle();
+    const crowd::LinkNo link = roads_->members[static_cast<std::size_t>(member)];
+    return roads_->links.used(link) / std::max(1.0, roads_->links.capacity(link));
+}
+
+void BoxFleet::capacities() {
+    const Micros now = net_.now();
+    const auto set = [&](crowd::LinkNo link, double bytes) {
+        if (std::abs(roads_->links.capacity(link) - bytes) > 1e-9 * bytes)
+            roads_->transfers.capacity(now, link, bytes);
+    };
+    for (std::size_t i = 0; i < roads_->members.size(); ++i)
+        set(roads_->members[i], roads_->memberKb[i] * memberFactor[i] * 1000);
+    for (std::size_t i = 0; i < roads_->racks.size(); ++i)
+        set(roads_->racks[i], uplinkKb_ * uplinkFactor[i] * 1000);
+    for (const auto& [id, box] : boxes_) {
+        const bool stands = !box->up() || box->trouble.silent || now < box->trouble.pausedUntil;
+        set(roads_->boxes.at(id), stands ? 0 : box->givenKb() * 1000);
+    }
+}
+
+void BoxFleet::arrive() {
+    for (const crowd::Transfers::Id id : roads_->transfers.ended(net_.now())) {
+        const auto it = roads_->jobs.find(id);
+        if (it == roads_->jobs.end()) continue;
+        const auto [box, job] = it->second;
+        roads_->jobs.erase(it);
+        boxes_.at(box)->arrived(job);
+    }
+    if (const auto next = roads_->transfers.next()) arrive_.at(*next);
+}
+
 void BoxFleet::tick() {
-    tick_.after(kTick);
+    tick_.after(roads_ ? 10 * kTick : kTick);
+    if (roads_) {
+        capacities();
+        arrive();
+    }
     const double dt = seconds(net_.now() - lastTick_);
     lastTick_ = net_.now();
     for (auto& [id, box] : boxes_) box->tick(dt);
--- a/src/standins/box.hpp
+++ b/src/standins/box.hpp
@@ -9,12 +9,14 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "crowd/fairshare.hpp"
 #include "http/server.hpp"
 #include "net/net.hpp"
 #include "standins/ledger.hpp"
@@ -86,6 +88,8 @@
     double givenKb() const;
     double warmShare() const;
     void tick(double dt);
+    void travel(Job&);
+    void arrived(std::uint64_t job);
     Line line(const char* what) const;
     void drop(std::uint64_t key);
 
@@ -119,17 +123,37 @@
     double uplinkUse(int rack) const;
     std::uint64_t sentBytes = 0;
 
+    // From now on segments take as long as a model of the links says: max-min fair over the member's link,
+    // the box's and the rack's uplink, each no faster than a little over its rung. `memberOf`: by the trace
+    // id of the ask; -1: of no member with a link of its own.
+    void pave(const std::vector<double>& memberKb, std::function<int(const std::string& trace)> memberOf);
+    bool paved() const { return roads_ != nullptr; }
+    std::vector<double> memberFactor;  // of each member's link: a script's
+    double memberUse(int member);
+
   private:
     friend class Box;
+    struct Roads {
+        crowd::FairShare links;
+        crowd::Transfers transfers{links};
+        std::vector<crowd::LinkNo> members, racks;
+        std::map<int, crowd::LinkNo> boxes;
+        std::vector<double> memberKb;
+        std::function<int(const std::string&)> memberOf;
+        std::map<crowd::Transfers::Id, std::pair<int, std::uint64_t>> jobs;  // box, and job there
+    };
     void tick();
+    void arrive();  // of what the roads brought to an end
+    void capacities();
     net::Net& net_;
+    std::unique_ptr<Roads> roads_;
     BoxMake make_;
     int racks_;
     double uplinkKb_;
     std::mt19937_64 chance_;
     Ledger& ledger_;
     std::map<int, std::unique_ptr<Box>> boxes_;
-    net::Timer tick_;
+    net::Timer tick_, arrive_;
     Micros lastTick_;
 };
 
--- a/src/standins/caller.cpp
+++ b/src/standins/caller.cpp
@@ -45,7 +45,7 @@
               [this] {
                   if (answered_) return;
                   put(request("CANCEL", 1, branch_, "", "", false));
-                  if (wait_ < 4'000'000) cancel_.after(wait_ = std::max<Micros>(500'000, wait_));
+                  if (wait_ < 8 * plan_.t1) cancel_.after(wait_ = std::max<Micros>(plan_.t1, wait_));
               }),
       giveUp_(net,
               [this] {
@@ -72,13 +72,16 @@
                                "", true));
                    refresh_.after(plan_.sessionExpires / 3);
                }),
-      byeAgain_(net, [this] {
-          if (over_) return;
-          byeWait_ = std::min<Micros>(2 * byeWait_, 4'000'000);
-          if (byeWait_ >= 4'000'000) return over("leave");
-          put(bye_);
-          byeAgain_.after(byeWait_);
-      }) {
+      byeAgain_(net,
+                [this] {
+                    if (over_) return;
+                    byeWait_ = std::min<Micros>(2 * byeWait_, 8 * plan_.t1);
+                    if (byeWait_ >= 8 * plan_.t1) return over("leave");
+                    put(bye_);
+                    byeAgain_.after(byeWait_);
+                }),
+      wait_(plan.t1),
+      byeWait_(plan.t1) {
     socket_ = net.bind(*net::endpointOf("127.0.0.1:0"), *this);
     callId_ = hex(chance_()) + "@caller";
     tag_ = hex(chance_());
@@ -131,7 +134,7 @@
     again_.after(wait_);
     // The call is given up on when no final answer can come any more: its own timeout, and what the weather
     // and the retransmissions of a lost answer may add.
-    giveUp_.after(plan_.timeout + 40'000'000);
+    giveUp_.after(plan_.timeout + 64 * plan_.t1 + 8 * kSecond);
     if (plan_.cancelAfter > 0) cancel_.after(plan_.cancelAfter);
 }
 
--- a/src/standins/caller.hpp
+++ b/src/standins/caller.hpp
@@ -23,6 +23,7 @@
 struct CallPlan {
     std::string title, room;
     Micros timeout = 5'000'000, talk = 1'000'000;
+    Micros t1 = 500'000;                              // of RFC 3261, as at the front
     Micros cancelAfter = 0;                           // 0: never
     bool loses100 = false;                            // every provisional answer to it is lost
     bool acks = true, refreshes = true, says = true;  // says: BYE at the end
@@ -62,7 +63,7 @@
     std::unique_ptr<net::Datagrams> socket_;
     std::string callId_, tag_, toTag_, branch_, trace_, invite_, ack_, bye_;
     net::Timer again_, cancel_, giveUp_, end_, refresh_, byeAgain_;
-    Micros wait_ = 500'000, askedAt_ = 0, byeWait_ = 500'000;
+    Micros wait_, askedAt_ = 0, byeWait_;
     std::uint32_t cseq_ = 1;
     bool provisional_ = false, over_ = false, byed_ = false, answered_ = false;
     std::map<int, int> finals_;
--- a/src/standins/ledger.cpp
+++ b/src/standins/ledger.cpp
@@ -24,10 +24,12 @@
         };
         number("box", l.box, -1);
         number("player", l.player, -1);
+        number("member", l.member, -1);
         number("rung", l.rung, -1);
         number("join", l.join, -1);
         number("status", l.status, 0);
         number("attempt", l.attempt, 0);
+        if (l.told) j["told"] = true;
         if (l.number != 0) j["number"] = l.number;
         out << j.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace) << '\n';
     }
@@ -51,10 +53,12 @@
         l.face = j.value("face", "");
         l.box = j.value("box", -1);
         l.player = j.value("player", -1);
+        l.member = j.value("member", -1);
         l.rung = j.value("rung", -1);
         l.join = j.value("join", -1);
         l.status = j.value("status", 0);
         l.attempt = j.value("attempt", 0);
+        l.told = j.value("told", false);
         l.number = j.value("number", 0.0);
         out.add(std::move(l));
     }
--- a/src/standins/ledger.hpp
+++ b/src/standins/ledger.hpp
@@ -15,7 +15,9 @@
     std::string what;  // see each stand-in
     std::string trace, front, sub, room, title;
     std::string face;  // "sip" for callers
+    int member = -1;   // whose link it watches through
     int box = -1, player = -1, rung = -1, join = -1, status = 0, attempt = 0;
+    bool told = false;  // an answer that says when to come again
     double number = 0;
 };
 
--- a/src/standins/player.cpp
+++ b/src/standins/player.cpp
@@ -50,6 +50,7 @@
     l.room = plan_.room.name;
     l.title = plan_.title;
     l.attempt = attempt_;
+    l.member = plan_.member;
     return l;
 }
 
@@ -57,6 +58,11 @@
     ask();
 }
 
+void Player::endSoon() {
+    until_ = net_.now();
+    if (state_ == State::Idle || state_ == State::Waiting) leave();
+}
+
 void Player::closeConnection() {
     if (conn_ && conn_->spokeUnasked()) ledger_.add(line("second-answer"));
     if (conn_) conn_->abandon();
@@ -73,7 +79,15 @@
                   http::percentEncoded(cmcd);
     };
     const std::string sid = "sid=\"" + sid_ + "\"", cid = "cid=\"" + plan_.title + "\"";
-    const std::string tb = plan_.topKbits > 0 ? "tb=" + std::to_string(plan_.topKbits) : "";
+    std::int64_t top = plan_.topKbits;
+    if (abr_ && abr_->throughputKb() && playout_) {
+        const int now = map_.compare(0, 5, "init-") == 0 ? std::atoi(map_.c_str() + 5) : 0;
+        const int own = abr_->choose(playout_->buffered(net_.now()), plan_.bufferMost, now);
+        const auto kbits =
+            static_cast<std::int64_t>(plan_.ownLadderKb[static_cast<std::size_t>(own)] * 8 + 0.5);
+        top = top > 0 ? std::min(top, kbits) : kbits;
+    }
+    const std::string tb = top > 0 ? "tb=" + std::to_string(top) : "";
     const std::string bl = "bl=" + std::to_string(static_cast<long long>(buffered_ * 1000));
     switch (plan_.hints) {
         case HintStyle::Headers:
@@ -127,6 +141,7 @@
     }
     head_ = {};
     body_.clear();
+    bytes_ = 0;
     sentAt_ = net_.now();
     conn_->fetch(http::requestBytes("GET", target, at_, f), false, *this);
 }
@@ -143,6 +158,7 @@
     if (sid_.empty() || plan_.hints != HintStyle::Headers || attempt_ > 1)
         sid_ = hex(chance_()).substr(0, 8) + "-" + std::to_string(number_) + "-" + std::to_string(attempt_);
     trace_ = hex(chance_()) + hex(chance_() | 1);
+    if (plan_.asking) plan_.asking(trace_);
     front_ = front->name;
     at_ = front->at;
     state_ = State::Asking;
@@ -159,12 +175,30 @@
     Line l = line("ask");
     l.number = static_cast<double>(plan_.room.joinObjective);
     ledger_.add(l);
-    timer_.after(plan_.room.clientTimeout);
+    timer_.after(plan_.patience ? std::min(plan_.room.clientTimeout, plan_.patience->bears(waited_, 0))
+                                : plan_.room.clientTimeout);
     fetch("/talk/" + http::percentEncoded(plan_.title) +
           "/main.m3u8?room=" + http::percentEncoded(plan_.room.name));
 }
 
+void Player::heldOut() {
+    if (!playout_) return;
+    const Micros stalled = playout_->stalled(net_.now());
+    if (stalled <= stalledTold_) return;
+    Line l = line("stall");
+    l.number = static_cast<double>(stalled - std::exchange(stalledTold_, stalled));
+    ledger_.add(l);
+    if (plan_.patience && plan_.patience->gone(waited_, stalled)) {
+        ledger_.add(line("abandon"));
+        leave();
+    }
+}
+
 void Player::gaveUp() {
+    if (net_.now() - askedAt_ < plan_.room.clientTimeout) {  // of its own will: nobody owes it an answer now
+        ledger_.add(line("abandon"));
+        return comeAgain(!plan_.room.paid, std::nullopt);
+    }
     Line l = line("no-answer");
     l.status = 2;
     l.number = static_cast<double>(net_.now() - askedAt_);
@@ -176,11 +210,14 @@
     closeConnection();
     timer_.cancel();
     const bool timeLeft = until_ == 0 || net_.now() < until_;
-    if (!mayRepeat || returns_ >= plan_.returns || !timeLeft) return leave();
+    if (state_ == State::Asking) waited_ += net_.now() - askedAt_;
+    const auto wait = crowd::comesAgain({plan_.returns, plan_.back, plan_.honours, plan_.atOnce}, returns_,
+                                        told, std::uniform_real_distribution<double>(0, 1)(chance_));
+    if (!mayRepeat || !wait || !timeLeft) return leave();
     ++returns_;
     state_ = State::Idle;
-    const Micros wait = told && plan_.honours ? *told : plan_.back;
-    timer_.after(wait + std::uniform_int_distribution<Micros>(0, 100'000)(chance_));
+    ledger_.add(line("return"));
+    timer_.after(*wait);
 }
 
 void Player::leave() {
@@ -198,6 +235,7 @@
     head_ = head;
 }
 void Player::piece(std::string_view bytes) {
+    bytes_ += bytes.size();
     if (state_ == State::Asking || state_ == State::Playlist) body_ += bytes;
 }
 
@@ -223,6 +261,7 @@
         Line l = line("answer");
         l.status = status;
         l.number = static_cast<double>(net_.now() - askedAt_);
+        l.told = head_.fields.find("Retry-After") != nullptr;
         ledger_.add(l);
         if (status == 200) {
             const auto read = hls::readMultivariant(body_);
@@ -230,6 +269,10 @@
             media_ = hls::resolved("/talk/x/main.m3u8", read.got->variants.front().uri).value_or("");
             base_ = media_;
             if (until_ == 0) until_ = net_.now() + plan_.watch;
+            waited_ = 0;
+            stalledTold_ = 0;
+            if (plan_.bufferMost > 0) playout_.emplace(plan_.startWith, plan_.bufferMost);
+            if (!plan_.ownLadderKb.empty()) abr_.emplace(plan_.ownLadderKb);
             startedAt_ = net_.now();
             state_ = State::Playlist;
             timer_.after(15 * kSecond);
@@ -267,8 +310,15 @@
         l.number = static_cast<double>(net_.now() - sentAt_);
         if (map_.compare(0, 5, "init-") == 0) l.rung = std::atoi(map_.c_str() + 5);
         ledger_.add(l);
+        const Micros lasts = list_.segments[nextNo_ - list_.firstNo].duration;
         ++segments_;
         ++nextNo_;
+        if (abr_) abr_->measured(static_cast<double>(bytes_) / 1000, net_.now() - sentAt_);
+        if (playout_) {
+            playout_->came(net_.now(), lasts);
+            heldOut();
+            if (state_ == State::Over) return;
+        }
     }
     next();
 }
@@ -288,8 +338,17 @@
         return fetch(media_);
     }
     const hls::Segment& s = list_.segments[nextNo_ - list_.firstNo];
+    if (playout_) {
+        const Micros room = playout_->roomIn(net_.now(), s.duration);
+        if (room > 0) {
+            state_ = State::Waiting;
+            timer_.after(std::min(room, std::max<Micros>(1, until_ - net_.now())));
+            return;
+        }
+    }
     timer_.after(15 * kSecond);
     if (s.map >= 0 && list_.maps[static_cast<std::size_t>(s.map)].uri != map_) {
+        if (!map_.empty()) ledger_.add(line("switch"));
         map_ = list_.maps[static_cast<std::size_t>(s.map)].uri;
         state_ = State::Init;
         return fetch(hls::resolved(base_, map_).value_or("/"));
--- a/src/standins/player.hpp
+++ b/src/standins/player.hpp
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "crowd/viewer.hpp"
 #include "hls/playlist.hpp"
 #include "http/client.hpp"
 #include "net/net.hpp"
@@ -40,6 +41,13 @@
     Micros back = 500'000;      // and after how long, where no time is told
     bool honours = true;        // Retry-After
     std::int64_t topKbits = 0;  // of its device
+    // What a modelled viewer has beyond a scripted one.
+    bool atOnce = false;                      // comes again at once, whatever it was told
+    int member = -1;                          // whose link it watches through
+    std::optional<crowd::Patience> patience;  // none: it waits as long as its client timeout
+    Micros startWith = 0, bufferMost = 0;     // of its playout buffer; 0: it fetches without a pause
+    std::vector<double> ownLadderKb;          // with it, its own measure lowers what it says it can use
+    std::function<void(const std::string& trace)> asking;  // called with each ask
 };
 
 class Player final : http::FetchUser {
@@ -54,6 +62,7 @@
            const std::vector<double>& worth, Ledger&, std::function<void(Player&)> done);
     ~Player() override;
     void start();
+    void endSoon();  // it goes, once what it asked for is answered
     int number() const { return number_; }
     bool over() const { return state_ == State::Over; }
     std::uint64_t segments() const { return segments_; }
@@ -66,6 +75,7 @@
     void leave();
     void comeAgain(bool mayRepeat, std::optional<Micros> told);
     void gaveUp();
+    void heldOut();  // what the buffer bore, and whether the viewer still does
     http::Fields fields(const char* ot, std::string& target);
     Line line(const char* what) const;
     void closeConnection();
@@ -96,6 +106,10 @@
     std::uint64_t nextNo_ = 0;
     std::string map_;
     double buffered_ = 0;
+    std::optional<crowd::Playout> playout_;
+    std::optional<crowd::Abr> abr_;
+    Micros waited_ = 0, stalledTold_ = 0;
+    std::uint64_t bytes_ = 0;
     std::uint64_t segments_ = 0;
     bool haveNo_ = false;
 };
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -12,6 +12,10 @@
 
 using namespace admission;
 
+BoundTerms fixed(std::size_t most) {
+    return {1, most, 0, 200'000};
+}
+
 TEST(Prefix, ReadsNetworksAndRefusesStrayBits) {
     EXPECT_EQ(text(*prefixOf("10.1.0.0/16")), "10.1.0.0/16");
     EXPECT_EQ(text(*prefixOf("2001:db8::/32")), "2001:db8::/32");
@@ -65,16 +69,72 @@
     return boost::asio::ip::make_address(t);
 }
 
+// A server with one queue, `perSecond` of it served, asked for `offered` a second: the bound is all that
+// stands between the two. Tells the longest wait of the last half, and how much was served.
+struct Queue {
+    Bound bound;
+    double waiting = 0, served = 0;
+    Micros now = 0, slowest = 0;
+    explicit Queue(const BoundTerms& t) : bound(t) {}
+    void run(Micros time, double perSecond, double offered, Micros own) {
+        const Micros end = now + time;
+        slowest = 0;
+        served = 0;
+        for (; now < end; now += 10'000) {
+            waiting = std::min(waiting + offered / 100, static_cast<double>(bound.now()));
+            const double out = std::min(waiting, perSecond / 100);
+            const auto took = own + static_cast<Micros>(waiting / perSecond * 1e6);
+            waiting -= out;
+            served += out;
+            for (int i = 0; i < static_cast<int>(out); ++i)
+                bound.answered(now, took, static_cast<std::size_t>(waiting));
+            if (now > end - time / 2) slowest = std::max(slowest, took);
+        }
+    }
+};
+
+TEST(Bound, HoldsTheWaitAtItsTargetUnderAFloodAndServesAllTheSame) {
+    Queue q({64, 5'000, 300'000, 200'000});
+    q.run(10 * kSecond, 1'000, 10'000, 20'000);
+    EXPECT_LT(q.slowest, 600'000) << "unbounded it would be five seconds";
+    EXPECT_GT(q.slowest, 150'000);
+    EXPECT_GT(q.served, 9'900);
+    q.run(20 * kSecond, 1'000, 100, 20'000);
+    EXPECT_GT(q.bound.now(), 1'500u) << "it rises again when the flood is over";
+}
+
+TEST(Bound, WhatIsSlowWithoutACrowdTurnsNobodyAway) {
+    Queue q({64, 5'000, 300'000, 200'000});
+    q.run(20 * kSecond, 1'000, 100, 900'000);
+    EXPECT_EQ(q.bound.now(), 5'000u);
+    // And a crowd over what is slow anyway is judged by that.
+    q.run(20 * kSecond, 1'000, 5'000, 900'000);
+    EXPECT_GT(q.bound.now(), 500u);
+    EXPECT_LT(q.slowest, 2'500'000);
+}
+
+TEST(Bound, NeverLeavesItsLimits) {
+    std::mt19937_64 chance(3);
+    Bound b({10, 100, 100'000, 50'000});
+    Micros now = 0;
+    for (int i = 0; i < 20'000; ++i) {
+        const auto t = static_cast<Micros>(chance() % (i % 3 ? 1'000'000 : 50'000));
+        now += t % 100'000;
+        b.answered(now, t, chance() % 120);
+        ASSERT_TRUE(b.now() >= 10u && b.now() <= 100u);
+    }
+}
+
 TEST(Gate, ItsBoundHoldsAndAFloodLeavesRoomForOthers) {
-    Gate gate(100, 1'000, 24, 56);
+    Gate gate(fixed(100), 1'000, 24, 56);
     gate.name(*prefixOf("10.0.0.0/8"), "flood");
     const auto flood = gate.networkOf(ip("10.1.2.3"));
     int in = 0;
-    while (gate.ask(flood) == Gate::Let::In) ++in;
+    while (gate.ask(0, flood) == Gate::Let::In) ++in;
     EXPECT_GE(in, 50) << "one alone may have half of it at least";
     EXPECT_LE(in, 90);
     for (int other = 0; other < 10; ++other)
-        EXPECT_EQ(gate.ask(gate.networkOf(ip("192.0." + std::to_string(other) + ".1"))), Gate::Let::In)
+        EXPECT_EQ(gate.ask(0, gate.networkOf(ip("192.0." + std::to_string(other) + ".1"))), Gate::Let::In)
             << other;
     EXPECT_EQ(gate.networkOf(ip("10.200.0.1")), flood) << "one member's addresses share one share";
     EXPECT_EQ(gate.networkOf(ip("::ffff:10.9.9.9")), flood) << "however they are written";
@@ -85,7 +145,7 @@
         std::mt19937 chance(seed);
         const auto pick = [&](int lo, int hi) { return std::uniform_int_distribution<int>(lo, hi)(chance); };
         const int bound = pick(1, 120);
-        Gate gate(static_cast<std::size_t>(bound), 5, 24, 56);
+        Gate gate(fixed(static_cast<std::size_t>(bound)), 5, 24, 56);
         std::map<std::uint32_t, int> held, open;
         int all = 0;
         for (int step = 0; step < 2'000; ++step) {
@@ -94,7 +154,7 @@
             switch (pick(0, 3)) {
                 case 0:
                 case 1: {
-                    const auto let = gate.ask(network);
+                    const auto let = gate.ask(0, network);
                     if (all < bound / 2) {
                         ASSERT_EQ(let, Gate::Let::In);
                     }
@@ -131,7 +191,9 @@
 }
 
 TEST(Gate, ForgetsWhatNobodyUses) {
-    Gate gate(10, 10, 24, 56);
+    Gate gate(fixed(10), 10, 24, 56);
+    EXPECT_TRUE(gate.wouldLet(net::endpointOf("10.1.1.1:1")->ip));
+    EXPECT_EQ(gate.networks(), 0u) << "asking what it would say keeps nothing";
     for (int i = 0; i < 20'000; ++i) {
         const auto n =
             gate.networkOf(ip("10." + std::to_string(i / 250 % 250) + "." + std::to_string(i % 250) + ".1"));
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -583,6 +584,216 @@
     rig.expectRules();
 }
 
+// A caller of bare text, for what a well-behaved one never does.
+struct RawCaller : net::DatagramUser {
+    std::unique_ptr<net::Datagrams> socket;
+    net::Endpoint front;
+    std::vector<std::string> got;
+    std::string toTag;
+    RawCaller(net::Net& net, const net::Endpoint& front) : front(front) {
+        socket = net.bind(Loop::any(), *this);
+    }
+    void received(const net::Endpoint&, std::string_view bytes) override {
+        got.emplace_back(bytes);
+        const auto to = bytes.find("\r\nTo: "), tag = bytes.find(";tag=", to);
+        if (bytes.compare(0, 11, "SIP/2.0 200") == 0 && tag != std::string_view::npos)
+            toTag = bytes.substr(tag + 5, bytes.find("\r\n", tag) - tag - 5);
+    }
+    static std::string sdp(const std::string& way = "recvonly", int port = 4000) {
+        return "v=0\r\no=c 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=video " +
+               std::to_string(port) + " RTP/AVP 96\r\na=" + way + "\r\n";
+    }
+    std::string text(const std::string& method, int cseq, const std::string& branch, const std::string& body,
+                     const std::string& via = "", const std::string& way = "UDP") const {
+        const std::string me = net::text(socket->at());
+        return method + " sip:t@x;room=open SIP/2.0\r\nVia: SIP/2.0/" + way + " " + me + ";branch=z9hG4bK" +
+               branch + via + "\r\nMax-Forwards: 70\r\nFrom: <sip:r@" + me + ">;tag=r" +
+               (toTag.empty() ? branch : "") + "\r\nTo: <sip:t@x>" + (toTag.empty() ? "" : ";tag=" + toTag) +
+               "\r\nCall-ID: raw" + (toTag.empty() ? branch : "") + "\r\nCSeq: " + std::to_string(cseq) +
+               " " + method + "\r\nContact: <sip:r@" + me + ">\r\nAllow: UPDATE\r\n" +
+               (body.empty() ? "" : "Content-Type: application/sdp\r\n") +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    void say(const std::string& bytes) { socket->send(front, bytes); }
+    // The last that begins with this and has that in it.
+    const std::string* heard(const std::string& start, const std::string& within = "") const {
+        for (auto it = got.rbegin(); it != got.rend(); ++it)
+            if (it->compare(0, start.size(), start) == 0 && it->find(within) != std::string::npos)
+                return &*it;
+        return nullptr;
+    }
+    int times(const std::string& start) const {
+        return static_cast<int>(std::count_if(got.begin(), got.end(), [&](const std::string& one) {
+            return one.compare(0, start.size(), start) == 0;
+        }));
+    }
+    void answer(const std::string& request, int status) {
+        std::string out = "SIP/2.0 " + std::to_string(status) + " X\r\n";
+        for (const char* name : {"Via", "From", "To", "Call-ID", "CSeq"}) {
+            const auto at = request.find("\r\n" + std::string(name) + ": ") + 2;
+            out += request.substr(at, request.find("\r\n", at) - at) + "\r\n";
+        }
+        say(out + "Content-Length: 0\r\n\r\n");
+    }
+};
+
+struct RawRig : CallRig {
+    RawCaller raw{net, front->sip()->at()};
+    using CallRig::CallRig;
+    bool plays() {
+        raw.say(raw.text("INVITE", 1, "", RawCaller::sdp()));
+        if (!until([&] { return raw.heard("SIP/2.0 200"); })) return false;
+        raw.say(raw.text("ACK", 1, "k", ""));
+        run(30'000);
+        return true;
+    }
+};
+
+TEST(Sip, AChangeOfRungIsToldByUpdateAndGlareIsSettled) {
+    RawRig rig;
+    ASSERT_TRUE(rig.plays());
+    core::Face& face = *rig.front->sip();
+    const SubId sub{1};
+    const std::string* first = rig.raw.heard("SIP/2.0 200");
+    const int now = first->find("b=TIAS:80000\r\n") != std::string::npos ? 2 : 0;
+    face.rungSet(sub, now);
+    ASSERT_TRUE(rig.until([&] { return rig.raw.heard("UPDATE "); }));
+    const std::string update = *rig.raw.heard("UPDATE ");
+    EXPECT_NE(update.find(now == 2 ? "b=TIAS:480000\r\n" : "b=TIAS:80000\r\n"), std::string::npos);
+    // The caller's own offer crosses it: glare, on both sides.
+    rig.raw.say(rig.raw.text("INVITE", 2, "re", RawCaller::sdp()));
+    ASSERT_TRUE(rig.until([&] { return rig.raw.heard("SIP/2.0 491"); }));
+    rig.raw.say(rig.raw.text("ACK", 2, "re", ""));
+    rig.raw.answer(update, 491);
+    ASSERT_TRUE(rig.until([&] { return rig.raw.heard("UPDATE ", "CSeq: 2 UPDATE"); })) << "it is tried again";
+    rig.raw.answer(*rig.raw.heard("UPDATE ", "CSeq: 2 UPDATE"), 200);
+    rig.run(30'000);
+    rig.raw.say(rig.raw.text("INVITE", 3, "re3", RawCaller::sdp()));
+    ASSERT_TRUE(rig.until([&] { return rig.raw.heard("SIP/2.0 200", "CSeq: 3 INVITE"); }))
+        << "and all is well";
+    rig.raw.say(rig.raw.text("ACK", 3, "re3a", ""));
+    // Out of order within the dialog: an older number (section 12.2.2).
+    rig.raw.say(rig.raw.text("UPDATE", 2, "old", ""));
+    ASSERT_TRUE(rig.until([&] { return rig.raw.heard("SIP/2.0 500", "CSeq: 2 UPDATE"); }));
+    rig.raw.say(rig.raw.text("BYE", 4, "bye", ""));
+    ASSERT_TRUE(rig.quiet());
+    rig.expectRules();
+}
+
+TEST(Sip, ADialogThatTheCallerNoLongerKnowsIsOver) {
+    RawRig rig;
+    ASSERT_TRUE(rig.plays());
+    static_cast<core::Face&>(*rig.front->sip()).rungSet(SubId{1}, 1);
+    ASSERT_TRUE(rig.until([&] { return rig.raw.heard("UPDATE "); }));
+    rig.raw.answer(*rig.raw.heard("UPDATE "), 481);
+    ASSERT_TRUE(rig.quiet());
+    EXPECT_TRUE(rig.until([&] { return rig.raw.heard("BYE "); }));
+}
+
+TEST(Sip, AnInviteWithoutAnOfferIsOfferedToAndItsAckMustTakeIt) {
+    for (const std::string& body : {RawCaller::sdp(), std::string(), RawCaller::sdp("recvonly", 0)}) {
+        RawRig rig;
+        rig.raw.say(rig.raw.text("INVITE", 1, "", ""));
+        ASSERT_TRUE(rig.until([&] { return rig.raw.heard("SIP/2.0 200", "m=video "); }));
+        rig.raw.say(rig.raw.text("ACK", 1, "k", body));
+        if (body == RawCaller::sdp()) {
+            rig.run(300'000);
+            EXPECT_EQ(rig.front->sip()->calls(), 1u);
+            EXPECT_FALSE(rig.raw.heard("BYE "));
+        } else {
+            ASSERT_TRUE(rig.until([&] { return rig.raw.heard("BYE "); }));
+            ASSERT_TRUE(rig.quiet());
+        }
+    }
+}
+
+struct RawStream : net::StreamUser {
+    std::unique_ptr<net::Stream> stream;
+    std::string in;
+    bool up = false, ended = false;
+    RawStream(net::Net& net, const net::Endpoint& at) { stream = net.connect(at, *this); }
+    void connected() override { up = true; }
+    void connectFailed(net::NoStream) override { ended = true; }
+    void writable() override {}
+    void readable() override {
+        std::array<char, 4'096> buffer;
+        for (;;) {
+            const net::Moved got = stream->read(buffer);
+            in.append(buffer.data(), got.bytes);
+            if (got.bytes > 0) continue;
+            if (got.then != net::Moved::Then::Again) ended = true;
+            return;
+        }
+    }
+    int times(const std::string& what) const {
+        int n = 0;
+        for (auto at = in.find(what); at != std::string::npos; at = in.find(what, at + 1)) ++n;
+        return n;
+    }
+};
+
+TEST(Sip, OverAStreamManyMessagesMayComeAtOnceAndOneInMany) {
+    RawRig rig;
+    RawStream s(rig.net, rig.front->sip()->at());
+    ASSERT_TRUE(rig.until([&] { return s.up; }));
+    std::string all;
+    for (int i = 0; i < 3; ++i)
+        all += "\r\n\r\n" + rig.raw.text("INVITE", 1, "s" + std::to_string(i), RawCaller::sdp(), "", "TCP");
+    s.stream->write(all);
+    ASSERT_TRUE(rig.until([&] { return s.times("SIP/2.0 200") >= 3; }));
+    const std::string one = rig.raw.text("OPTIONS", 1, "o", "", "", "TCP");
+    for (const char c : one) {
+        s.stream->write(std::string(1, c));
+        rig.net.turn(0);
+    }
+    ASSERT_TRUE(rig.until([&] { return s.times("CSeq: 1 OPTIONS") == 1; }));
+    EXPECT_FALSE(s.ended);
+    EXPECT_EQ(rig.front->sip()->calls(), 3u);
+}
+
+TEST(Sip, AStreamThatLostItsPlaceIsClosedAndItsNeighboursStay) {
+    RawRig rig;
+    RawStream bad(rig.net, rig.front->sip()->at()), good(rig.net, rig.front->sip()->at());
+    ASSERT_TRUE(rig.until([&] { return bad.up && good.up; }));
+    std::string broken = rig.raw.text("OPTIONS", 1, "b", "", "", "TCP");
+    broken.replace(broken.find("Content-Length: 0"), 17, "Content-Length: -7");
+    bad.stream->write(broken + "and more that belongs to nothing\r\n\r\n");
+    ASSERT_TRUE(rig.until([&] { return bad.ended; }));
+    good.stream->write(rig.raw.text("OPTIONS", 1, "g", "", "", "TCP"));
+    ASSERT_TRUE(rig.until([&] { return good.times("SIP/2.0 200") == 1; }));
+}
+
+TEST(Sip, AFloodIsShedCheaplyAndThoseWhoListenAreToldByHowMuch) {
+    RawRig rig;
+    rig.front.reset();
+    rig.startFront("admission waiting=8\nsip listen=\"127.0.0.1:0\" target-fill=0.1 look-every=\"20ms\"\n");
+    rig.raw.front = rig.front->sip()->at();
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.answersLate = 200'000;
+    for (int i = 0; i < 300; ++i) {
+        rig.raw.say(
+            rig.raw.text("INVITE", 1, "f" + std::to_string(i), RawCaller::sdp(), ";oc;oc-algo=\"loss\""));
+        rig.net.turn(2'000);
+    }
+    rig.run(kSecond);
+    EXPECT_GT(rig.front->sip()->counts().shed, 50u);
+    EXPECT_LT(rig.front->core().counts().asked, 200u);
+    const std::string* refused = rig.raw.heard("SIP/2.0 503", "Retry-After: ");
+    ASSERT_TRUE(refused);
+    bool told = false;
+    for (const std::string& one : rig.raw.got)
+        told |= one.find(";oc=") != std::string::npos && one.find("oc-validity=1000") != std::string::npos;
+    EXPECT_TRUE(told);
+    // Each call has one final answer, whichever it is.
+    std::map<std::string, std::set<std::string>> finals;
+    for (const std::string& one : rig.raw.got) {
+        if (one.compare(0, 9, "SIP/2.0 1") == 0 || one.compare(0, 8, "SIP/2.0 ") != 0) continue;
+        const auto at = one.find("Call-ID: ");
+        finals[one.substr(at, one.find("\r\n", at) - at)].insert(one.substr(0, 11));
+    }
+    EXPECT_EQ(finals.size(), 300u);
+    for (const auto& [id, all] : finals) EXPECT_EQ(all.size(), 1u) << id;
+}
+
 // ---- fronts that are deliberately broken: the audit must catch each ----
 
 // Joins any box that was ever listed, at once, and again and again, whatever the rules say.
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "handnet.hpp"
+#include "sip/glance.hpp"
 #include "sip/message.hpp"
 #include "sip/overload.hpp"
 #include "sip/transactions.hpp"
@@ -267,7 +268,7 @@
         waiting -= served;
         servedAll += served;
         now += terms.every;
-        control.look(now, static_cast<double>(waiting) / room, static_cast<std::uint64_t>(came),
+        control.look(now, static_cast<double>(waiting) / room, 0, static_cast<std::uint64_t>(came),
                      static_cast<std::uint64_t>(served));
         if (step > 20 && step < 100) worst = std::max(worst, std::abs(control.loss() - 0.9));
         ASSERT_LE(waiting, room);
@@ -281,5 +282,55 @@
     EXPECT_FALSE(control.shed(0, false, true, 5)) << "an emergency is never shed";
 }
 
+TEST(Glance, SeesWhatTheWholeReaderSeesOrNothing) {
+    std::mt19937_64 chance(5);
+    int seen = 0;
+    for (int i = 0; i < 2'000; ++i) {
+        std::string text = invite("Subject: s" + std::to_string(chance() % 100) + "\r\n", "abc");
+        if (i % 2)  // one byte made another, anywhere in it
+            text[chance() % text.size()] = static_cast<char>(chance() % 256);
+        const auto g = sip::glance(text);
+        if (!g) continue;
+        ++seen;
+        const auto p = sip::parse(text);
+        if (!p.got || p.got->vias.empty())
+            continue;  // what is broken elsewhere may be turned away without a look at it
+        EXPECT_EQ(g->method, p.got->method);
+        EXPECT_EQ(g->branch, p.got->vias.front().branch) << text;
+        EXPECT_EQ(g->callId, p.got->callId) << text;
+        EXPECT_EQ(g->toHasTag, !p.got->to.tag.empty()) << text;
+        EXPECT_EQ(g->inviteKey(), sip::Transactions::keyOf(*p.got)) << text;
+        const auto peer = *net::endpointOf("127.0.0.9:6000");
+        const auto back = sip::parse(sip::refusal(*g, "503 Service Unavailable", "tt", ";oc=5", 3, peer));
+        ASSERT_TRUE(back.got) << back.why;
+        EXPECT_EQ(back.got->status, 503);
+        EXPECT_EQ(back.got->vias.front().branch, p.got->vias.front().branch);
+        EXPECT_EQ(back.got->callId, p.got->callId);
+    }
+    EXPECT_GT(seen, 1'000);
+}
+
+TEST(Glance, LeavesTheUncommonToTheWholeReader) {
+    EXPECT_TRUE(sip::glance(invite("")));
+    EXPECT_FALSE(sip::glance(invite("v: SIP/2.0/UDP 127.0.0.2;branch=z9hG4bK1\r\n"))) << "compact";
+    EXPECT_FALSE(sip::glance(invite("Subject: a\r\n b\r\n"))) << "folded";
+    EXPECT_FALSE(sip::glance(invite("Resource-Priority: ets.0\r\n"))) << "an emergency";
+    EXPECT_FALSE(sip::glance(invite("Via: SIP/2.0/UDP 127.0.0.2;branch=z9hG4bK1\r\n"))) << "by a proxy";
+    EXPECT_FALSE(sip::glance("OPTIONS sip:a SIP/2.0\r\n\r\n"));
+    EXPECT_FALSE(sip::glance(""));
+}
+
+TEST(Refused, RemembersWhatItTurnedAwayInABoundedTable) {
+    sip::Refused refused(100);
+    for (std::uint64_t i = 1; i <= 128; ++i) refused.remember(i * 0x9e3779b97f4a7c15ull);
+    EXPECT_TRUE(refused.knows(128 * 0x9e3779b97f4a7c15ull));
+    EXPECT_FALSE(refused.knows(12'345));
+    EXPECT_FALSE(refused.knows(0));
+    int kept = 0;
+    for (std::uint64_t i = 1; i <= 128; ++i) kept += refused.knows(i * 0x9e3779b97f4a7c15ull);
+    EXPECT_GT(kept, 64) << "most stay while no more than the table holds have come";
+    EXPECT_LE(kept, 128);
+}
+
 }  // namespace
 }  // namespace valekeel
