--- a/bench/calls.cpp
+++ b/bench/calls.cpp
@@ -194,12 +194,14 @@
     double offered = 0, goodput = 0, refused = 0, throttled = 0, late = 0, never = 0, sent = 0, cores = 0;
 };
 
-Flooded flooded(const char* self, double rate, bool shed, Listens listens, int places, Micros setUp) {
+Flooded flooded(const char* self, double rate, bool shed, Listens listens, int places, Micros setUp,
+                int waiting = 500) {
     Stage s(10, setUp, "silent-after=\"60s\"",
             "sip listen=\"127.0.0.1:0\" transactions=200000 calls=200000 shed=#" +
                 std::string(shed ? "true" : "false") + "\nallowed joins=3 come-back-at-most=\"2s\"\n",
             places,
-            std::string("waiting=2000 connections-each=200000") + (shed ? "" : " target-wait=\"0s\""));
+            "waiting=" + std::to_string(waiting) + std::string(" connections-each=200000") +
+                (shed ? "" : " target-wait=\"0s\""));
     constexpr double kSpan = 6;
     const std::string file = (s.folder / "flood").string();
     const double cpu = s.front.cpuSeconds();
@@ -241,12 +243,14 @@
         "\n| overload control | offered a second | placed in time | 503 | 486, 50x | late | no answer | "
         "messages "
         "in | front, cores |\n|---|--:|--:|--:|--:|--:|--:|--:|--:|\n");
-    for (const auto& [name, shed, listens] :
-         {std::tuple{"none", false, Listens::No}, std::tuple{"shed at the front", true, Listens::No},
-          std::tuple{"senders listen to oc", true, Listens::Yes}}) {
+    for (const auto& [name, shed, listens, waiting] :
+         {std::tuple{"none, 2,000 may wait", false, Listens::No, 2'000},
+          std::tuple{"none, 500 may wait", false, Listens::No, 500},
+          std::tuple{"shed at the front", true, Listens::No, 500},
+          std::tuple{"senders listen to oc", true, Listens::Yes, 500}}) {
         charts::Series line{name, {}, {}, {}, {}};
         for (const double share : {0.5, 1.0, 2.0, 5.0, 10.0}) {
-            const Flooded f = flooded(self, share * most, shed, listens, 300, 5'000);
+            const Flooded f = flooded(self, share * most, shed, listens, 300, 5'000, waiting);
             std::printf("| %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.2f |\n", name, f.offered,
                         f.goodput, f.refused, f.throttled, f.late, f.never, f.sent, f.cores);
             std::fflush(stdout);
--- a/fuzz/sip.cpp
+++ b/fuzz/sip.cpp
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <cstdlib>
 
+#include "sip/glance.hpp"
 #include "sip/message.hpp"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
@@ -13,6 +14,12 @@
     if (parsed.enough && parsed.enough->method == "ACK") std::abort();
     if (const auto offer = readOffer(text))
         writeAnswer(*offer, *valekeel::net::endpointOf("127.0.0.1:9"), 1'000, 1, 1);
+    // What is refused at a glance must be an answer that the whole reader takes, to the same request.
+    if (const auto g = glance(text)) {
+        const Parsed back = parse(
+            refusal(*g, "503 Service Unavailable", "t", "", 1, *valekeel::net::endpointOf("127.0.0.1:9")));
+        if (parsed.got && (!back.got || back.got->callId != parsed.got->callId)) std::abort();
+    }
     Framer framer(2'000);
     for (std::size_t at = 0, step = 1; at < size; at += step, step = step * 2 % 61 + 1) {
         if (!framer.feed(text.substr(at, step))) break;
--- a/src/admission/gate.hpp
+++ b/src/admission/gate.hpp
@@ -53,6 +53,7 @@
     Micros comeBack(Micros now, Micros least) { return returns_.tell(now, least); }
     void placed(Micros now) { returns_.placed(now); }
     void throttled(Micros now) { returns_.throttled(now); }
+    bool lowestOnly(std::uint32_t network) const { return ways_.lowestOnly(network); }
     // A segment reached a viewer of that network whole: see Ways.
     void delivered(Micros now, std::uint32_t network, double share, bool lowest) {
         ways_.delivered(now, network, share, lowest);
--- a/src/admission/ways.cpp
+++ b/src/admission/ways.cpp
@@ -25,7 +25,8 @@
     const bool alone =
         others.of < terms_.least || others.mean() > seen.mean() + 0.1 || others.mean() >= terms_.enough;
     const bool lowest = seen.lowest * 4 >= seen.of * 3;
-    if (seen.mean() < terms_.enough && lowest && alone) {
+    const bool starved = seen.mean() < terms_.enough / 2;  // no rung would be low enough, whichever plays now
+    if (((seen.mean() < terms_.enough && lowest) || starved) && alone) {
         way.narrow = true;
         way.opening = false;
     } else if (way.narrow && seen.mean() >= terms_.enough) {
@@ -76,6 +77,11 @@
     return true;
 }
 
+bool Ways::lowestOnly(std::uint32_t network) const {
+    const auto it = ways_.find(network);
+    return it != ways_.end() && (it->second.narrow || it->second.opening);
+}
+
 bool Ways::narrow(std::uint32_t network) const {
     const auto it = ways_.find(network);
     return it != ways_.end() && it->second.narrow;
--- a/src/admission/ways.hpp
+++ b/src/admission/ways.hpp
@@ -32,6 +32,8 @@
     // Whether one more from there may watch. What it says true to is counted as let in.
     bool mayWatch(Micros now, std::uint32_t network);
     bool narrow(std::uint32_t network) const;
+    // While it is narrow, and while it opens again: the lowest rung is all that one more may ask for.
+    bool lowestOnly(std::uint32_t network) const;
     std::size_t held() const { return ways_.size(); }
 
   private:
--- a/src/faces/http/face.cpp
+++ b/src/faces/http/face.cpp
@@ -26,7 +26,7 @@
     std::optional<Micros> delivered;  // kbit/s, of the last segment
     Window window;
     std::vector<std::unique_ptr<Waiter>> waiters;
-    std::size_t fetches = 0, connections = 0;
+    std::size_t fetches = 0;
     std::uint64_t segments = 0, bytes = 0;
     std::unique_ptr<net::Timer> silence;
     Viewer(const WindowTerms& terms) : window(terms) {}
@@ -224,10 +224,7 @@
                 viewer->delivered = static_cast<Micros>(got_) * 8'000 / took;
                 ++viewer->segments;
                 ++face_.relayedSegments_;
-                if (!heldEver_)  // a viewer that takes its time says nothing of its way
-                    face_.gate_.delivered(now, viewer->network,
-                                          static_cast<double>(playTime_) / static_cast<double>(took),
-                                          rung_ <= face_.rooms_.types[viewer->room.v].floor);
+                tellWay(*viewer, now);
             }
             viewer->bytes += got_;
         }
@@ -250,9 +247,21 @@
         }
         if (how == boxes::WireEnd::NoRoomToSend || how == boxes::WireEnd::NoDescriptor)
             return end(503, "too much is being fetched from the box");
+        if (const Viewer* viewer = face_.byToken(token_)) tellWay(*viewer, face_.net_.now());
         lost(how);
     }
 
+    // What this segment says of its viewer's way: nothing if the viewer took its time, or it came to an end
+    // early.
+    void tellWay(const Viewer& viewer, Micros now) {
+        const Micros took = std::max<Micros>(1, now - sentAt_);
+        if (what_ != What::Segment || heldEver_ || length_ == 0 || (got_ < length_ && took < playTime_))
+            return;
+        const double share = static_cast<double>(playTime_) / static_cast<double>(took) *
+                             static_cast<double>(got_) / static_cast<double>(length_);
+        face_.gate_.delivered(now, viewer.network, share, rung_ <= face_.rooms_.types[viewer.room.v].floor);
+    }
+
     // The viewer's side.
     void drained() override {
         if (!held_ || !request_) return;
@@ -262,7 +271,10 @@
     }
     void gone() override {
         exchange_ = nullptr;
-        if (Viewer* viewer = face_.byToken(token_)) viewer->silence->after(face_.terms_.closedAfter);
+        if (Viewer* viewer = face_.byToken(token_)) {
+            tellWay(*viewer, face_.net_.now());
+            viewer->silence->after(face_.terms_.closedAfter);
+        }
         over();
     }
 
@@ -498,6 +510,7 @@
     if (hint.tb && *hint.tb > 0) kbits = std::min(kbits, static_cast<double>(*hint.tb));
     if (hint.rtp && *hint.rtp > 0) kbits = std::min(kbits, static_cast<double>(*hint.rtp));
     if (hint.mtp && *hint.mtp > 0) kbits = std::min(kbits, 1.5 * static_cast<double>(*hint.mtp));
+    if (gate_.lowestOnly(network)) kbits = 0;
     Wish wish = wishFor(*room, title, talk->second, ladder_, type, kbits);
     for (const auto& [key, value] : hint.custom) {
         if (key != "org.valekeel-watch") continue;
@@ -525,7 +538,13 @@
     auto trace = parent ? record::parseTraceParent(*parent) : std::nullopt;
     viewer.trace = trace ? *trace : record::newTrace(net_.draw(), net_.draw(), net_.draw());
     viewer.silence = std::make_unique<net::Timer>(net_, [this, token = viewer.token] {
-        if (Viewer* silent = byToken(token)) endViewer(*silent, true);
+        Viewer* silent = byToken(token);
+        if (!silent) return;
+        // Who waits for a segment is not silent: the box is, or a link; that fetch has an end of its own.
+        if (silent->fetches > 0)
+            silent->silence->after(terms_.silentAfter / 2);
+        else
+            endViewer(*silent, true);
     });
     viewer.silence->after(std::max(terms_.silentAfter, rooms_.clientTimeouts[room->v]));
     viewer.waiters.push_back(std::make_unique<Waiter>(*this, viewer.token, exchange));
--- a/src/faces/sip/face.cpp
+++ b/src/faces/sip/face.cpp
@@ -470,7 +470,8 @@
                      {{"Retry-After", wholeSecondsUp(gate_.comeBack(net_.now(), terms_.retryWhenFull))}});
 
     const RoomType& type = rooms_.types[room->v];
-    const double kbits = offer.mostBits ? static_cast<double>(*offer.mostBits) / 1'000 : 1e18;
+    double kbits = offer.mostBits ? static_cast<double>(*offer.mostBits) / 1'000 : 1e18;
+    if (gate_.lowestOnly(network)) kbits = 0;
     const Wish wish = wishFor(*room, m.user, talk->second, ladder_, type, kbits);
     Micros timeout = rooms_.clientTimeouts[room->v];
     if (m.expires && *m.expires > 0) timeout = std::min(timeout, static_cast<Micros>(*m.expires) * kSecond);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -157,7 +157,7 @@
 
 void readAdmission(Cursor& top, Told& t) {
     Cursor node = top.here("admission");
-    t.gateBound.most = static_cast<std::size_t>(node.whole("waiting", 1, 1'000'000, 5'000));
+    t.gateBound.most = static_cast<std::size_t>(node.whole("waiting", 1, 1'000'000, 1'000));
     t.gateBound.least = static_cast<std::size_t>(node.whole("waiting-least", 1, 1'000'000, 64));
     t.gateBound.target = node.time("target-wait", 0, kHour, t.gateBound.target);
     admission::ReturnTerms& r = t.gateReturns;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -125,6 +125,97 @@
     }
 }
 
+TEST(Returns, SpreadsThoseWhoAreTurnedAwayByWhatIsPlaced) {
+    Returns r({30 * kSecond, 1.5, 4, 20, 2 * kSecond});
+    Micros now = 10 * kSecond;
+    for (int i = 0; i < 100; ++i) {  // ten placed a second
+        r.placed(now);
+        now += 100'000;
+    }
+    EXPECT_NEAR(r.placedPerSecond(), 10, 1);
+    std::map<Micros, int> perSecond;
+    Micros last = 0;
+    for (int i = 0; i < 300; ++i) {
+        const Micros wait = r.tell(now, kSecond);
+        EXPECT_GE(wait, kSecond);
+        EXPECT_LE(wait, 30 * kSecond);
+        EXPECT_GT(wait, last);
+        last = wait;
+        ++perSecond[wait / kSecond];
+    }
+    for (const auto& [second, many] : perSecond) EXPECT_LE(many, 17) << "no more than can be placed, by half";
+    // A row that is longer than the longest wait begins anew.
+    for (int i = 0; i < 1'000; ++i) EXPECT_LE(r.tell(now, kSecond), 30 * kSecond);
+    Returns off({0, 1.5, 4, 20, 2 * kSecond});
+    EXPECT_EQ(off.tell(now, 7), 7);
+}
+
+TEST(Returns, AsksAreWorthADecisionUntilNearlyAllComeToNothing) {
+    Returns r({30 * kSecond, 1.5, 4, 20, 2 * kSecond});
+    Micros now = 10 * kSecond;
+    const auto second = [&](int asks, int places) {
+        int let = 0;
+        for (int i = 0; i < asks; ++i) {
+            now += kSecond / asks;
+            if (!r.worthAsking(now)) continue;
+            ++let;
+            if (let <= places)
+                r.placed(now);
+            else
+                r.throttled(now);
+        }
+        return let;
+    };
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(second(100, 60), 100) << "two in five are turned away: each is asked";
+    for (int i = 0; i < 6; ++i) second(1'000, 10);
+    EXPECT_TRUE(r.crowded());
+    const int let = second(1'000, 10);
+    EXPECT_GE(let, 30);
+    EXPECT_LE(let, 60) << "four for each place, twenty at least";
+    for (int i = 0; i < 6; ++i) second(20, 20);
+    EXPECT_FALSE(r.crowded()) << "and all again when the crowd is over";
+    EXPECT_EQ(second(100, 100), 100);
+}
+
+TEST(Ways, ANarrowOneIsClosedToMoreAndOpensByAFewAtATime) {
+    Ways w({0.95, 2 * kSecond, 4, 1, true});
+    Micros now = kSecond;
+    const auto watch = [&](Micros time, double far, double others, bool lowest) {
+        for (const Micros end = now + time; now < end; now += 100'000) {
+            w.delivered(now, 1, far, lowest);
+            w.delivered(now, 2, others, lowest);
+        }
+    };
+    watch(6 * kSecond, 1, 1, true);
+    EXPECT_TRUE(w.mayWatch(now, 1));
+    watch(6 * kSecond, 0.7, 1, false);
+    EXPECT_TRUE(w.mayWatch(now, 1)) << "a lower rung is still to come";
+    watch(6 * kSecond, 0.7, 1, true);
+    EXPECT_FALSE(w.mayWatch(now, 1));
+    EXPECT_TRUE(w.lowestOnly(1));
+    EXPECT_TRUE(w.mayWatch(now, 2)) << "who is not behind it loses nothing";
+    watch(4 * kSecond, 1, 1, true);
+    int let = 0;
+    for (int i = 0; i < 20; ++i) let += w.mayWatch(now += 10'000, 1);
+    EXPECT_LE(let, 2) << "not all of them at once";
+    for (int i = 0; i < 10; ++i) {
+        watch(2 * kSecond, 1, 1, true);
+        w.mayWatch(now, 1);
+    }
+    EXPECT_FALSE(w.lowestOnly(1));
+    // All are short together: that is no network's own way.
+    watch(8 * kSecond, 0.6, 0.6, true);
+    EXPECT_TRUE(w.mayWatch(now, 1));
+    EXPECT_TRUE(w.mayWatch(now, 2));
+    // Nobody left to tell: it is tried again.
+    watch(6 * kSecond, 0.1, 1, false);
+    EXPECT_FALSE(w.mayWatch(now, 1));
+    w.mayWatch(now += 2 * kSecond, 1);
+    w.mayWatch(now += 9 * kSecond, 1);
+    EXPECT_FALSE(w.narrow(1));
+}
+
 TEST(Gate, ItsBoundHoldsAndAFloodLeavesRoomForOthers) {
     Gate gate(fixed(100), 1'000, 24, 56);
     gate.name(*prefixOf("10.0.0.0/8"), "flood");
--- a/tests/kdl_test.cpp
+++ b/tests/kdl_test.cpp
@@ -177,7 +177,7 @@
     const auto document = Document::fromText("site.kdl", kSite);
     front::Front::check(document);
     const std::string all = document.inForce();
-    for (const char* part : {"silent-after=\"20s\"", "answer-margin=\"120ms\"", "waiting=5000", "level=info",
+    for (const char* part : {"silent-after=\"20s\"", "answer-margin=\"120ms\"", "waiting=1000", "level=info",
                              "rung kb=10 worth=0.5", "room-type r client-timeout=\"3s\"", "set-up=free"})
         EXPECT_NE(all.find(part), std::string::npos) << part << "\n" << all;
     EXPECT_EQ(complaint(all), "in order");
