--- a/bench/calls.cpp
+++ b/bench/calls.cpp
@@ -305,7 +305,7 @@
 
 // ---- bad weather ----
 
-int weather(int many) {
+int weather(int many, const char* ledgerFile) {
     net::raiseDescriptorLimit();
     net::EpollNet net(3);
     standins::Ledger ledger;
@@ -366,6 +366,10 @@
     turnUntil([&] { return front.sip()->calls() == 0 && front.sip()->transactions() == 0; }, 200 * kSecond);
     const Micros toQuiet = net.now() - from;
     turnUntil([] { return false; }, kSecond);  // what was given back last is still on its way to its box
+    if (ledgerFile) {
+        std::ofstream out(ledgerFile);
+        ledger.write(out);
+    }
     std::map<int, int> finals;
     int charged = 0, twice = 0, never = 0, plays = 0, given = 0;
     std::set<std::string> paid;
@@ -409,11 +413,12 @@
 int main(int argc, char** argv) {
     if (argc == 7 && !std::strcmp(argv[1], "--flood")) return valekeel::floodProcess(argv);
     const std::string what = argc > 1 ? argv[1] : "";
-    if (what == "weather") return valekeel::weather(argc > 2 ? std::atoi(argv[2]) : 2'000);
+    if (what == "weather")
+        return valekeel::weather(argc > 2 ? std::atoi(argv[2]) : 2'000, argc > 3 ? argv[3] : nullptr);
     if (what == "costs") valekeel::costs(argv[0]);
     if (what == "flood")
         valekeel::floods(argv[0], argc > 3 ? argv[3] : "", argc > 2 ? std::atof(argv[2]) : 1'000);
     if (what.empty())
-        std::printf("bench_calls weather [CALLS] | costs | flood [MOST-A-SECOND [CHART.svg]]\n");
+        std::printf("bench_calls weather [CALLS [LEDGER]] | costs | flood [MOST-A-SECOND [CHART.svg]]\n");
     return 0;
 }
--- a/src/charts/charts.cpp
+++ b/src/charts/charts.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <filesystem>
+#include <set>
+#include <sstream>
 
 namespace valekeel::charts {
 namespace {
@@ -35,20 +37,28 @@
     return out;
 }
 
+// Names that are short stand beside the plot; long ones under it, a row each.
+std::size_t rowsUnder(const Chart& chart) {
+    const bool isLong = std::any_of(chart.series.begin(), chart.series.end(),
+                                    [](const Series& s) { return s.name.size() > 22; });
+    return isLong || chart.series.size() > 14 ? chart.series.size() : 0;
+}
+
 class Page {
   public:
-    explicit Page(const std::string& file) : fresh_(file + ".new") {
+    Page(const std::string& file, const Chart& chart)
+        : fresh_(file + ".new"), rows_(rowsUnder(chart)), tall_(560 + 22 * static_cast<double>(rows_)) {
         pl_.sdev("svg");
         pl_.sfnam(fresh_.c_str());
-        pl_.setopt("geometry", "900x560");
+        pl_.setopt("geometry", ("900x" + std::to_string(static_cast<int>(tall_))).c_str());
         pl_.scolbg(255, 255, 255);
         for (int i = 0; i < kMost; ++i) pl_.scol0(i + 1, kColours[i][0], kColours[i][1], kColours[i][2]);
         pl_.scol0(kPale, 205, 205, 205);
         pl_.scol0(kInk, 30, 30, 30);
         pl_.init();
         pl_.adv(0);
-        pl_.schr(0, 0.75);
-        pl_.vpor(0.1, 0.78, 0.12, 0.9);
+        pl_.schr(0, 0.75 * 560 / tall_);
+        place();
     }
     plstream* operator->() { return &pl_; }
     void frame(const Chart& chart, const Extent& x, const Extent& y, const char* xWay) {
@@ -59,26 +69,37 @@
         pl_.box(xWay, 0, 0, "bnstv", 0, 0);
         pl_.lab(plain(chart.xName).c_str(), plain(chart.yName).c_str(), plain(chart.title).c_str());
     }
-    void legend(const Chart& chart, const Extent& x, const Extent& y) {
-        // To the right of the plot, in the plot's own measure.
-        const double wide = x.high - x.low, high = y.high - y.low;
-        pl_.vpor(0.1, 0.999, 0.12, 0.9);
-        pl_.wind(x.low, x.low + wide * 0.899 / 0.68, y.low, y.high);
-        int row = 0;
-        for (const Series& s : chart.series) {
-            const double at = y.high - high * (0.04 + 0.055 * row);
-            pl_.col0(1 + row % kMost);
+    // The colours come again after the eighth, in dashes.
+    void style(std::size_t series) {
+        pl_.col0(static_cast<PLINT>(1 + series % kMost));
+        pl_.lsty(series < kMost ? 1 : 2);
+    }
+    void legend(const Chart& chart) {
+        const bool beside = rows_ == 0;
+        pl_.vpor(0, 1, 0, 1);
+        pl_.wind(0, 900, 0, tall_);
+        for (std::size_t i = 0; i < chart.series.size(); ++i) {
+            const double x = beside ? 714 : 90;
+            const double y =
+                beside ? 486 - 24 * static_cast<double>(i) : 22 * static_cast<double>(rows_ - i) - 10;
+            style(i);
             pl_.width(3);
-            pl_.join(x.high + wide * 0.02, at, x.high + wide * 0.06, at);
+            pl_.join(x, y, x + 26, y);
             pl_.width(1);
+            pl_.lsty(1);
             pl_.col0(kInk);
-            pl_.ptex(x.high + wide * 0.07, at, 1, 0, 0, plain(s.name).c_str());
-            ++row;
+            pl_.ptex(x + 32, y, 1, 0, 0, plain(chart.series[i].name).c_str());
         }
     }
 
   private:
+    void place() {
+        const double under = 22 * static_cast<double>(rows_);
+        pl_.vpor(0.1, rows_ ? 0.97 : 0.78, (under + 67) / tall_, (under + 504) / tall_);
+    }
     std::string fresh_;
+    std::size_t rows_;
+    double tall_;
     plstream pl_;
 };
 
@@ -114,23 +135,34 @@
     y.widen();
     y.high += (y.high - y.low) * 0.05;
     {
-        Page page(file);
-        page.frame(chart, x, y, chart.logX ? "bclnst" : "bcnst");
+        Page page(file, chart);
+        // Few places are named as they are: a log axis alone would show one power of ten, or none.
+        std::set<double> places;
+        for (const Series& one : chart.series) places.insert(one.x.begin(), one.x.end());
+        const bool named = places.size() <= 10;
+        page.frame(chart, x, y, named ? "bc" : chart.logX ? "bclnst" : "bcnst");
+        if (named)
+            for (const double at : places) {
+                std::ostringstream text;
+                text << at;
+                page->mtex("b", 1.2, (across(at) - x.low) / (x.high - x.low), 0.5, text.str().c_str());
+            }
         for (const auto& [at, name] : chart.marks) {
             page->col0(kPale);
             page->join(across(at), y.low, across(at), y.high);
             page->col0(kInk);
             page->ptex(across(at), y.high - (y.high - y.low) * 0.03, 0, 1, 0, plain(name).c_str());
         }
-        int colour = 0;
+        std::size_t number = 0;
         for (const Series& s : chart.series) {
-            page->col0(1 + colour++ % kMost);
+            page.style(number++);
             std::vector<double> xs;
             for (const double v : s.x) xs.push_back(across(v));
             const auto n = static_cast<PLINT>(xs.size());
             page->width(2.5);
             page->line(n, xs.data(), s.y.data());
             page->width(1);
+            page->lsty(1);
             if (!s.low.empty()) {
                 for (PLINT i = 0; i < n; ++i) {
                     const auto k = static_cast<std::size_t>(i);
@@ -139,7 +171,7 @@
             }
             if (n <= 60) page->poin(n, xs.data(), s.y.data(), 17);
         }
-        page.legend(chart, x, y);
+        page.legend(chart);
         page->eop();
     }
     putInPlace(file);
@@ -155,7 +187,7 @@
     y.widen();
     y.high += (y.high - y.low) * 0.05;
     {
-        Page page(file);
+        Page page(file, chart);
         page.frame(chart, x, y, "bc");
         const double each = 0.8 / static_cast<double>(chart.series.size());
         for (std::size_t k = 0; k < chart.series.size(); ++k) {
@@ -164,7 +196,7 @@
                 const double from = static_cast<double>(i) - 0.4 + each * static_cast<double>(k);
                 PLFLT xs[4] = {from, from + each * 0.92, from + each * 0.92, from};
                 PLFLT ys[4] = {0, 0, s.y[i], s.y[i]};
-                page->col0(static_cast<PLINT>(1 + k % kMost));
+                page.style(k);
                 page->fill(4, xs, ys);
                 if (!s.low.empty()) {
                     page->col0(kInk);
@@ -176,7 +208,7 @@
         for (std::size_t i = 0; i < labels.size(); ++i)
             page->mtex("b", 1.2, (static_cast<double>(i) + 0.5) / static_cast<double>(labels.size()), 0.5,
                        plain(labels[i]).c_str());
-        page.legend(chart, x, y);
+        page.legend(chart);
         page->eop();
     }
     putInPlace(file);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -162,6 +162,7 @@
     t.gateBound.target = node.time("target-wait", 0, kHour, t.gateBound.target);
     admission::ReturnTerms& r = t.gateReturns;
     r.most = node.time("come-back-most", 0, kHour, r.most);
+    r.over = node.number("returns-for-each", 0.1, 100, r.over);
     r.asksForEach = node.number("asks-for-each", 1, 1e6, r.asksForEach);
     r.least = node.number("asks-least", 1, 1e6, r.least);
     admission::WayTerms& w = t.gateWays;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -12,6 +12,7 @@
 #include <set>
 
 #include "audit/audit.hpp"
+#include "experiment/experiment.hpp"
 #include "loop.hpp"
 #include "rehearse/drill.hpp"
 #include "standins/caller.hpp"
@@ -902,6 +903,52 @@
     return rehearse::drill(day, ways, ledger);
 }
 
+TEST(Experiment, RunsWhatIsNotKeptYetAndReportsAll) {
+    const fs::path folder = fs::path(testing::TempDir()) / "valekeel-experiment-test";
+    fs::remove_all(folder);
+    fs::create_directories(folder);
+    fs::copy_file(fs::path(VALEKEEL_DAYS) / "crowd.kdl", folder / "crowd.kdl");
+    const auto planOf = [](const std::string& seeds) {
+        return experiment::readPlan(settings::Document::fromText(
+            "p.kdl",
+            "experiment \"t\" at-once=2\nday \"crowd.kdl\"\n"
+            "factor \"crowd\" { set \"audience@rate\"; set \"day@length\"; set \"audience@until\"; "
+            "level 1 \"8s\" \"6s\"; level 2 \"8s\" \"6s\"; }\nseeds " +
+                seeds + "\nshow \"service\"\nchart \"asked\" over=\"crowd\"\n"));
+    };
+    experiment::Ways ways;
+    ways.program = VALEKEEL_PROGRAM;
+    ways.folder = folder.string();
+    ways.store = (folder / "t.sqlite").string();
+    ways.out = (folder / "report").string();
+    EXPECT_EQ(experiment::carryOut(planOf("1"), ways), 0);
+    const auto first = experiment::Store(ways.store).of("t");
+    ASSERT_EQ(first.size(), 2u);
+    EXPECT_EQ(experiment::carryOut(planOf("1 2"), ways), 0);
+    const auto all = experiment::Store(ways.store).of("t");
+    ASSERT_EQ(all.size(), 4u);
+    // What was kept was not run again, to the microsecond that it took; and a virtual day is the same day.
+    for (const auto& one : first)
+        EXPECT_EQ(std::count_if(all.begin(), all.end(),
+                                [&](const auto& o) { return o.key == one.key && o.seconds == one.seconds; }),
+                  1);
+    const auto measures = experiment::measuresOf(all);
+    EXPECT_GT(measures.at("crowd 2").at(1).at("asked"), measures.at("crowd 1").at(1).at("asked"));
+    EXPECT_NE(experiment::compared(measures, "crowd 1", measures, "crowd 2").find("paired over 2 seeds"),
+              std::string::npos);
+    EXPECT_THROW(experiment::compared(measures, "crowd 1", measures, "crowd 3"), std::invalid_argument);
+    experiment::report(planOf("1 2"), ways);
+    EXPECT_TRUE(fs::exists(folder / "report" / "report.md"));
+    EXPECT_TRUE(fs::exists(folder / "report" / "t-1.svg"));
+    std::ifstream csv(folder / "report" / "runs.csv");
+    EXPECT_EQ(std::count(std::istreambuf_iterator<char>(csv), {}, '\n'), 5);
+    // A wrong level is found before anything runs.
+    auto wrong = planOf("3");
+    wrong.factors[0].levels[1].values[0] = "many";
+    EXPECT_THROW(experiment::carryOut(wrong, ways), settings::Wrong);
+    EXPECT_EQ(experiment::Store(ways.store).of("t").size(), 4u);
+}
+
 TEST(Day, TheShortBadDayKeepsAllRules) {
     standins::Ledger ledger;
     const auto result = playDay("short.kdl", ledger);
