--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -59,6 +59,9 @@
     connecting_.cancel();
     user_ = nullptr;
     ended_ = true;
+    // Not a mere close: a server may take that for the end of the asking alone, and go on with what was
+    // asked.
+    if (stream_) stream_->reset();
     stream_.reset();
 }
 
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -491,6 +491,21 @@
     rig.expectRules();
 }
 
+// The box must learn of it while it sets up: told afterwards alone, it would hold the place of nobody.
+TEST(Sip, ACallThatIsCancelledWhileItIsSetUpLeavesNoPlaceAtItsBox) {
+    CallRig rig;
+    for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.setUpFactor = 15;
+    standins::CallPlan plan;
+    plan.cancelAfter = 150'000;
+    rig.call("open", plan);
+    ASSERT_TRUE(rig.until([&] { return rig.active == 0; }));
+    ASSERT_TRUE(rig.until([&] { return rig.count("called-off") == 1; }));
+    rig.run(500'000);
+    EXPECT_EQ(rig.count("plays"), 0);
+    for (int id = 0; id < 3; ++id) EXPECT_EQ(rig.fleet->box(id).playing(), 0u);
+    rig.expectRules();
+}
+
 TEST(Sip, APaidCallThatIsCancelledWhileItIsSetUpIsAccountedForOnce) {
     CallRig rig;
     for (int id = 0; id < 3; ++id) rig.fleet->box(id).trouble.setUpFactor = 15;
