Written once: a face's surroundings, an address's network, whole files, picks by chance

Need: read once more, the change said some things twice: both faces took and kept the same ten parts; the gate found an address's network in two places; four places read a whole file by hand; two drew a weighted choice; a Zipf law stood beside crowd::Zipf, which was also made anew for each viewer; members and accessors that nothing reads.

Change: faces::Surroundings, Gate::known, settings::textOfFile, one oneOf, one come, withControl, sendFiller, hex.

--- a/src/admission/bound.cpp
+++ b/src/admission/bound.cpp
@@ -20,15 +20,14 @@
     lookedAt_ = now;
     const auto middle = seen_.begin() + static_cast<std::ptrdiff_t>(seen_.size() / 2);
     std::nth_element(seen_.begin(), middle, seen_.end());
-    median_ = *middle;
+    const Micros median = *middle;
     seen_.clear();
     // Learnt only while few wait: a crowd's own waiting must not become what is taken for normal.
-    if (held <= std::max(terms_.least, bound_ / 8))
-        quiet_ = quiet_ == 0 ? median_ : (4 * quiet_ + median_) / 5;
+    if (held <= std::max(terms_.least, bound_ / 8)) quiet_ = quiet_ == 0 ? median : (4 * quiet_ + median) / 5;
     const Micros bears = std::max(terms_.target, 2 * quiet_);
-    if (median_ > bears) {
+    if (median > bears) {
         // From what is held, not from a bound that nothing came near.
-        const double by = std::clamp(static_cast<double>(bears) / static_cast<double>(median_), 0.7, 0.95);
+        const double by = std::clamp(static_cast<double>(bears) / static_cast<double>(median), 0.7, 0.95);
         const auto less = static_cast<std::size_t>(static_cast<double>(std::min(bound_, held + 1)) * by);
         if (held * 2 >= std::min(bound_, 2 * terms_.least)) bound_ = std::max(terms_.least, less);
     } else if (held * 5 >= bound_ * 4) {
--- a/src/admission/bound.hpp
+++ b/src/admission/bound.hpp
@@ -4,7 +4,7 @@
 // More waiting than media servers can set up in time costs their work twice over: what is given up on or sent
 // again runs there all the same. So the bound falls while answers take longer than they should, and rises
 // again while it is reached and they don't. What is slow without a crowd is no reason to turn anybody away:
-// the target is never under twice the shortest median seen lately.
+// the target is never under twice the median that was seen while few waited.
 #pragma once
 
 #include <cstddef>
@@ -26,7 +26,6 @@
     // One was answered by a placement, or its set-up came to nothing. `held`: those that wait now.
     void answered(Micros now, Micros took, std::size_t held);
     std::size_t now() const { return bound_; }
-    Micros median() const { return median_; }  // of the last look; 0 before the first
 
   private:
     void look(Micros now, std::size_t held);
@@ -34,7 +33,7 @@
     BoundTerms terms_;
     std::size_t bound_;
     std::vector<Micros> seen_;
-    Micros lookedAt_ = 0, median_ = 0, quiet_ = 0;
+    Micros lookedAt_ = 0, quiet_ = 0;
 };
 
 }  // namespace valekeel::admission
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -10,13 +10,20 @@
     told_.put(network, it->second);
 }
 
-std::uint32_t Gate::networkOf(const net::IpAddress& ip) {
-    const Prefix host = hostOf(ip);
-    if (const auto told = told_.find(host)) return *told;
+Prefix Gate::prefixOf(const net::IpAddress& ip) const {
     const bool four = ip.is_v4() || ip.to_v6().is_v4_mapped();
-    const Prefix prefix = cut(host, four ? 96 + prefix4_ : prefix6_);
-    const auto it = untold_.find(prefix);
-    if (it != untold_.end()) return it->second;
+    return cut(hostOf(ip), four ? 96 + prefix4_ : prefix6_);
+}
+
+std::optional<std::uint32_t> Gate::known(const net::IpAddress& ip) const {
+    if (const auto told = told_.find(hostOf(ip))) return *told;
+    const auto it = untold_.find(prefixOf(ip));
+    return it == untold_.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::uint32_t Gate::networkOf(const net::IpAddress& ip) {
+    if (const auto network = known(ip)) return *network;
+    const Prefix prefix = prefixOf(ip);
     std::uint32_t id;
     if (free_.empty()) {
         id = static_cast<std::uint32_t>(networks_.size());
@@ -90,11 +97,8 @@
 }
 
 bool Gate::wouldLet(const net::IpAddress& ip) const {
-    const Prefix host = hostOf(ip);
-    if (const auto told = told_.find(host)) return letFor(networks_[*told].waiting) == Let::In;
-    const bool four = ip.is_v4() || ip.to_v6().is_v4_mapped();
-    const auto it = untold_.find(cut(host, four ? 96 + prefix4_ : prefix6_));
-    return letFor(it == untold_.end() ? 0 : networks_[it->second].waiting) == Let::In;
+    const auto network = known(ip);
+    return letFor(network ? networks_[*network].waiting : 0) == Let::In;
 }
 
 void Gate::answered(std::uint32_t network) {
--- a/src/admission/gate.hpp
+++ b/src/admission/gate.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,8 @@
         bool told = false;
         Prefix prefix;
     };
+    Prefix prefixOf(const net::IpAddress&) const;  // the group of an address that nobody told of
+    std::optional<std::uint32_t> known(const net::IpAddress&) const;
     void forgetIfIdle(std::uint32_t);
     Let letFor(std::size_t waitingOfIt) const;
     Bound bound_;
--- a/src/admission/ways.hpp
+++ b/src/admission/ways.hpp
@@ -34,7 +34,6 @@
     bool narrow(std::uint32_t network) const;
     // While it is narrow, and while it opens again: the lowest rung is all that one more may ask for.
     bool lowestOnly(std::uint32_t network) const;
-    std::size_t held() const { return ways_.size(); }
 
   private:
     struct Seen {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -205,10 +205,7 @@
 int playDay(const Played& how) {
     const auto& [file, decisions, given, ledgerFile, jsonFile, sets, seed, real, quiet] = how;
     std::string folder = given;
-    std::ifstream in(file, std::ios::binary);
-    if (!in) throw std::runtime_error(file + ": cannot be read");
-    std::ostringstream text;
-    text << in.rdbuf();
+    const std::string text = settings::textOfFile(file);
     std::vector<std::pair<std::string, std::string>> changes;
     for (const std::string& one : sets) {
         const auto equals = one.find('=');
@@ -216,7 +213,7 @@
         changes.emplace_back(one.substr(0, equals), one.substr(equals + 1));
     }
     const auto document = settings::Document::fromText(
-        file, changes.empty() ? text.str() : rehearse::withSettings(file, text.str(), changes));
+        file, changes.empty() ? text : rehearse::withSettings(file, text, changes));
     rehearse::Day day = rehearse::readDay(document);
     if (seed) day.seed = seed;
     const bool own = folder.empty();
@@ -262,8 +259,7 @@
     ways.terminal = ::isatty(STDERR_FILENO) == 1;
     const int failed = reportOnly ? 0 : experiment::carryOut(plan, ways);
     experiment::report(plan, ways);
-    std::ifstream in(ways.out + "/report.md");
-    std::cout << in.rdbuf();
+    std::cout << settings::textOfFile(ways.out + "/report.md");
     return failed ? kFound : kDone;
 }
 
--- a/src/experiment/store.cpp
+++ b/src/experiment/store.cpp
@@ -3,9 +3,7 @@
 #include <SQLiteCpp/SQLiteCpp.h>
 #include <xxhash.h>
 
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <stdexcept>
 
 namespace valekeel::experiment {
@@ -73,14 +71,6 @@
                   static_cast<unsigned long long>(XXH3_64bits(text.data(), text.size())));
     return out;
 }
-std::string hashOfFile(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    if (!in) throw std::runtime_error(path + ": cannot be read");
-    std::ostringstream text;
-    text << in.rdbuf();
-    return hashOf(text.str());
-}
-
 Measures measuresOf(const std::vector<Kept>& all) {
     Measures out;
     for (const Kept& k : all) {
--- a/src/experiment/store.hpp
+++ b/src/experiment/store.hpp
@@ -31,8 +31,7 @@
     std::unique_ptr<Inside> in_;
 };
 
-std::string hashOf(std::string_view);             // xxHash (XXH3, 64 bits), in hex
-std::string hashOfFile(const std::string& path);  // throws std::runtime_error
+std::string hashOf(std::string_view);  // xxHash (XXH3, 64 bits), in hex
 
 // The measures of results, by case and then by seed.
 using Measures = std::map<std::string, std::map<std::uint64_t, std::map<std::string, double>>>;
--- a/src/faces/asking.hpp
+++ b/src/faces/asking.hpp
@@ -4,10 +4,29 @@
 #include <algorithm>
 #include <string>
 
+#include "admission/gate.hpp"
+#include "boxes/joins.hpp"
+#include "core/core.hpp"
+#include "record/log.hpp"
 #include "settings/site.hpp"
 
 namespace valekeel::faces {
 
+// What each face of a front stands among: the talks and room types that it may be asked for, and the one
+// gate, core and record that it shares with the others. All of it outlives the faces.
+struct Surroundings {
+    net::Net& net_;
+    std::string name_;  // of the front
+    const settings::Talks& talks_;
+    const settings::RoomTypes& rooms_;
+    const Ladder& ladder_;
+    admission::Gate& gate_;
+    core::Core& core_;
+    boxes::Boxes& boxes_;
+    boxes::Joins& joins_;
+    record::Log& log_;
+};
+
 // Whole seconds, rounded up, one at least: as Retry-After and the SIP timers' headers want them.
 inline std::string wholeSecondsUp(Micros t) {
     return std::to_string(std::max<Micros>(1, (t + kSecond - 1) / kSecond));
--- a/src/faces/http/face.cpp
+++ b/src/faces/http/face.cpp
@@ -327,28 +327,13 @@
     Micros playTime_ = 0, sentAt_ = 0, toHead_ = 0;
 };
 
-HttpFace::HttpFace(net::Net& net, const net::Endpoint& at, const http::WireLimits& limits,
-                   const HttpTerms& terms, const hints::HintLimits& hintLimits, std::string name,
-                   const settings::Talks& talks, const settings::RoomTypes& rooms, const Ladder& ladder,
-                   admission::Gate& gate, core::Core& core, boxes::Boxes& boxes, boxes::Joins& joins,
-                   record::Log& log)
-    : net_(net),
-      terms_(terms),
-      hintLimits_(hintLimits),
-      name_(std::move(name)),
-      talks_(talks),
-      rooms_(rooms),
-      ladder_(ladder),
-      gate_(gate),
-      core_(core),
-      boxes_(boxes),
-      joins_(joins),
-      log_(log),
-      bury_(net, [this] {
+HttpFace::HttpFace(const Surroundings& around, const net::Endpoint& at, const http::WireLimits& limits,
+                   const HttpTerms& terms, const hints::HintLimits& hintLimits)
+    : Surroundings(around), terms_(terms), hintLimits_(hintLimits), bury_(net_, [this] {
           dead_.clear();
           deadViewers_.clear();
       }) {
-    server_ = std::make_unique<http::Server>(net, at, limits, *this);
+    server_ = std::make_unique<http::Server>(net_, at, limits, *this);
 }
 
 HttpFace::~HttpFace() {
--- a/src/faces/http/face.hpp
+++ b/src/faces/http/face.hpp
@@ -14,16 +14,11 @@
 #include <memory>
 #include <string>
 
-#include "admission/gate.hpp"
-#include "boxes/joins.hpp"
-#include "core/core.hpp"
 #include "faces/asking.hpp"
 #include "faces/http/viewer.hpp"
 #include "hints/cmcd.hpp"
 #include "http/server.hpp"
-#include "record/log.hpp"
 #include "record/trace.hpp"
-#include "settings/site.hpp"
 
 namespace valekeel::faces {
 
@@ -39,11 +34,10 @@
     Micros retryWhenFull = 1'000'000;   // named to those that admission turns away
 };
 
-class HttpFace final : public core::Face, public http::Handler, public boxes::JoinScribe {
+class HttpFace final : public core::Face, public http::Handler, public boxes::JoinScribe, Surroundings {
   public:
-    HttpFace(net::Net&, const net::Endpoint&, const http::WireLimits&, const HttpTerms&,
-             const hints::HintLimits&, std::string name, const settings::Talks&, const settings::RoomTypes&,
-             const Ladder&, admission::Gate&, core::Core&, boxes::Boxes&, boxes::Joins&, record::Log&);
+    HttpFace(const Surroundings&, const net::Endpoint&, const http::WireLimits&, const HttpTerms&,
+             const hints::HintLimits&);
     ~HttpFace() override;
 
     net::Endpoint at() const { return server_->at(); }
@@ -99,18 +93,8 @@
     void answerWaiters(Viewer&, const std::function<void(http::Exchange&)>&);
     void bury(std::unique_ptr<Relay>);
 
-    net::Net& net_;
     HttpTerms terms_;
     hints::HintLimits hintLimits_;
-    std::string name_;
-    const settings::Talks& talks_;
-    const settings::RoomTypes& rooms_;
-    const Ladder& ladder_;
-    admission::Gate& gate_;
-    core::Core& core_;
-    boxes::Boxes& boxes_;
-    boxes::Joins& joins_;
-    record::Log& log_;
     std::unique_ptr<http::Server> server_;
     std::map<std::string, std::unique_ptr<Viewer>> viewers_;  // by token
     std::map<SubId, Viewer*> subs_;
--- a/src/faces/sip/face.cpp
+++ b/src/faces/sip/face.cpp
@@ -194,38 +194,27 @@
     Load load_;
 };
 
-SipFace::SipFace(net::Net& net, const net::Endpoint& at, const SipTerms& terms, std::string name,
-                 const settings::Talks& talks, const settings::RoomTypes& rooms, const Ladder& ladder,
-                 admission::Gate& gate, core::Core& core, boxes::Boxes& boxes, boxes::Joins& joins,
-                 record::Log& log, std::uint64_t seed)
-    : net_(net),
+SipFace::SipFace(const Surroundings& around, const net::Endpoint& at, const SipTerms& terms,
+                 std::uint64_t seed)
+    : Surroundings(around),
       terms_(terms),
-      name_(std::move(name)),
-      talks_(talks),
-      rooms_(rooms),
-      ladder_(ladder),
-      gate_(gate),
-      core_(core),
-      boxes_(boxes),
-      joins_(joins),
-      log_(log),
       salt_(seed),
-      transactions_(net, terms.times, terms.transactions, *this),
+      transactions_(net_, terms.times, terms.transactions, *this),
       overload_(terms.overload),
       refused_(terms.refusedKept),
-      bury_(net,
+      bury_(net_,
             [this] {
                 deadStreams_.clear();
                 deadHolds_.clear();
                 deadCalls_.clear();
                 deadOut_.clear();
             }),
-      look_(net, [this] { look(); }) {
+      look_(net_, [this] { look(); }) {
     // Where the kernel chooses the port, the one it gives for datagrams may be taken for streams.
     for (int left = at.port == 0 ? 16 : 1; !listener_; --left) {
-        datagrams_ = net.bind(at, *this);
+        datagrams_ = net_.bind(at, *this);
         try {
-            listener_ = net.listen(datagrams_->at(), *this);
+            listener_ = net_.listen(datagrams_->at(), *this);
         } catch (const std::runtime_error&) {
             if (left <= 1) throw;
         }
@@ -314,33 +303,30 @@
         onAnswer(*parsed.got);
 }
 
+// To one that offered overload control, its topmost Via says what is asked of it.
+sip::Message SipFace::withControl(sip::Message m) const {
+    sip::Via& via = m.vias.front();
+    if (!via.params.count("oc")) return m;
+    const auto algo = via.params.find("oc-algo");
+    via.written += overload_.viaParameters(algo == via.params.end() ? "" : algo->second);
+    return m;
+}
+
 // Refused without keeping anything: what a flood may cost at most.
 void SipFace::replyStateless(const sip::Message& m, const sip::Way& way, int status, Micros comeBack) {
     std::vector<std::pair<std::string, std::string>> more;
     if (comeBack > 0) more.emplace_back("Retry-After", wholeSecondsUp(comeBack));
-    sip::Message copy = m;
-    if (const auto oc = m.vias.front().params.find("oc"); oc != m.vias.front().params.end()) {
-        const auto algo = m.vias.front().params.find("oc-algo");
-        copy.vias.front().written +=
-            overload_.viaParameters(algo == m.vias.front().params.end() ? "" : algo->second);
-    }
-    sendOn(way,
-           sip::response(copy, status, record::hex64(nameOf(m.vias.front().branch, m.callId, salt_) ^ salt_),
-                         more, "", &way.peer));
+    sendOn(way, sip::response(withControl(m), status,
+                              record::hex64(nameOf(m.vias.front().branch, m.callId, salt_) ^ salt_), more, "",
+                              &way.peer));
 }
 
 void SipFace::reply(const std::string& key, const sip::Message& m, int status,
                     std::vector<std::pair<std::string, std::string>> more, const std::string& body) {
     const auto call = byKey_.find(key);
-    sip::Message copy = m;
-    if (m.vias.front().params.count("oc")) {
-        const auto algo = m.vias.front().params.find("oc-algo");
-        copy.vias.front().written +=
-            overload_.viaParameters(algo == m.vias.front().params.end() ? "" : algo->second);
-    }
     const std::string tag = call != byKey_.end() ? call->second->localTag : record::hex64(net_.draw());
     const net::Endpoint* from = call != byKey_.end() ? &call->second->way.peer : nullptr;
-    transactions_.answer(key, status, sip::response(copy, status, tag, more, body, from));
+    transactions_.answer(key, status, sip::response(withControl(m), status, tag, more, body, from));
 }
 
 // ================= requests =================
--- a/src/faces/sip/face.hpp
+++ b/src/faces/sip/face.hpp
@@ -16,13 +16,8 @@
 #include <memory>
 #include <string>
 
-#include "admission/gate.hpp"
-#include "boxes/joins.hpp"
-#include "core/core.hpp"
 #include "faces/asking.hpp"
-#include "record/log.hpp"
 #include "record/trace.hpp"
-#include "settings/site.hpp"
 #include "sip/glance.hpp"
 #include "sip/overload.hpp"
 #include "sip/transactions.hpp"
@@ -51,12 +46,11 @@
                       public boxes::JoinScribe,
                       sip::TransactionUser,
                       net::DatagramUser,
-                      net::ListenerUser {
+                      net::ListenerUser,
+                      Surroundings {
   public:
     // Listens for datagrams and streams at the same place.
-    SipFace(net::Net&, const net::Endpoint&, const SipTerms&, std::string name, const settings::Talks&,
-            const settings::RoomTypes&, const Ladder&, admission::Gate&, core::Core&, boxes::Boxes&,
-            boxes::Joins&, record::Log&, std::uint64_t seed);
+    SipFace(const Surroundings&, const net::Endpoint&, const SipTerms&, std::uint64_t seed);
     ~SipFace() override;
     net::Endpoint at() const { return datagrams_->at(); }
     void stopTaking() { stopping_ = true; }
@@ -84,6 +78,7 @@
     void inDialog(Call&, const sip::Message&, const std::string& key);
     void reply(const std::string& key, const sip::Message&, int status,
                std::vector<std::pair<std::string, std::string>> more = {}, const std::string& body = "");
+    sip::Message withControl(sip::Message) const;
     bool turnedAwayAtAGlance(const sip::Glance&, const sip::Way&);
     bool turnedAway(std::uint64_t name, bool listens, bool emergency, const sip::Way&);
     void replyStateless(const sip::Message&, const sip::Way&, int status, Micros comeBack = 0);
@@ -110,17 +105,7 @@
     Call* byDialog(const sip::Message&);
     void look();
 
-    net::Net& net_;
     SipTerms terms_;
-    std::string name_;
-    const settings::Talks& talks_;
-    const settings::RoomTypes& rooms_;
-    const Ladder& ladder_;
-    admission::Gate& gate_;
-    core::Core& core_;
-    boxes::Boxes& boxes_;
-    boxes::Joins& joins_;
-    record::Log& log_;
     std::uint64_t salt_;
     sip::Transactions transactions_;
     sip::Overload overload_;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -271,13 +271,10 @@
             });
         joins.connect(*core);
         readKept();
-        face = std::make_unique<faces::HttpFace>(net, told.http, told.wire, told.terms, told.hints, told.name,
-                                                 told.talks, told.rooms, told.ladder, gate, *core, boxes,
-                                                 joins, log);
-        if (told.sip)
-            sip = std::make_unique<faces::SipFace>(net, *told.sip, told.sipTerms, told.name, told.talks,
-                                                   told.rooms, told.ladder, gate, *core, boxes, joins, log,
-                                                   seed);
+        const faces::Surroundings around{net,  told.name, told.talks, told.rooms, told.ladder,
+                                         gate, *core,     boxes,      joins,      log};
+        face = std::make_unique<faces::HttpFace>(around, told.http, told.wire, told.terms, told.hints);
+        if (told.sip) sip = std::make_unique<faces::SipFace>(around, *told.sip, told.sipTerms, seed);
         flushing.after(kSecond);
         line(record::Level::Info, "started",
              {{"front", told.name}, {"http", net::text(face->at())}, {"seed", seed}});
@@ -399,10 +396,8 @@
     void readKept() {
         if (told.listKept.empty() || !std::filesystem::exists(told.listKept)) return;
         try {
-            std::ifstream in(told.listKept, std::ios::binary);
-            std::ostringstream text;
-            text << in.rdbuf();
-            held = list::parseList(told.listKept, text.str(), told.machines.kinds, told.listLimits);
+            held = list::parseList(told.listKept, settings::textOfFile(told.listKept), told.machines.kinds,
+                                   told.listLimits);
             listIs(held.boxes, true);
         } catch (const std::exception& e) {
             line(record::Level::Warning, "kept-list-odd", {{"why", e.what()}});
--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -266,7 +266,6 @@
     const auto from = std::chrono::steady_clock::now();
     what();
     node.busy_ += std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count();
-    ++node.happened_;
 }
 
 bool VirtualWorld::step(Micros until) {
@@ -289,7 +288,6 @@
                 e.node->waits_.push_back(std::move(e.what));
                 continue;
             }
-            ++steps_;
             on(*e.node, e.what);
             return true;
         }
@@ -306,10 +304,7 @@
                 fired = true;
             }
         });
-        if (fired) {
-            ++steps_;
-            return true;
-        }
+        if (fired) return true;
         if (whose->wheel_.next() == timerAt) now_ += 1;  // else it would be looked at for ever
     }
 }
--- a/src/net/virtual.hpp
+++ b/src/net/virtual.hpp
@@ -46,7 +46,6 @@
     Micros wallSkew = 0;  // of its wall clock
     // Real time spent in what happened to it: the cost of its code, where nothing else takes the CPU.
     double busySeconds() const { return busy_; }
-    std::uint64_t happened() const { return happened_; }
 
   private:
     friend class VirtualWorld;
@@ -58,7 +57,6 @@
     bool stands_ = false;
     std::deque<std::function<void()>> waits_;
     double busy_ = 0;
-    std::uint64_t happened_ = 0;
 };
 
 class VirtualWorld {
@@ -81,7 +79,6 @@
     // Of datagrams alone: how many copies arrive (0: lost), each with what it is late by. One copy, in time,
     // where nothing is set.
     std::function<std::vector<Micros>(const VirtualNode&, const VirtualNode&)> datagramWeather;
-    std::uint64_t steps() const { return steps_; }
 
   private:
     friend class VirtualNode;
@@ -104,7 +101,7 @@
 
     Micros now_;
     std::mt19937_64 chance_;
-    std::uint64_t order_ = 0, steps_ = 0;
+    std::uint64_t order_ = 0;
     std::vector<std::unique_ptr<VirtualNode>> nodes_;
     std::priority_queue<Event> events_;
     std::map<Endpoint, ListenerHere*> listeners_;
--- a/src/rehearse/day.cpp
+++ b/src/rehearse/day.cpp
@@ -88,10 +88,9 @@
 
 // Wanted by a Zipf law, in the order of their names.
 std::vector<std::pair<double, std::string>> titlesOf(Cursor& node, const settings::Talks& talks) {
-    const double zipf = node.number("zipf", 0, 5, 0.8);
+    const crowd::Zipf wanted(talks.size(), node.number("zipf", 0, 5, 0.8), 0);
     std::vector<std::pair<double, std::string>> out;
-    for (const auto& [title, talk] : talks)
-        out.emplace_back(1 / std::pow(static_cast<double>(out.size() + 1), zipf), title);
+    for (const auto& [title, talk] : talks) out.emplace_back(wanted.part(out.size()), title);
     return out;
 }
 
@@ -106,11 +105,10 @@
 Audience readAudience(Cursor& node, const Day& day, const settings::Talks& talks) {
     Audience a;
     node.asWritten();  // a name, for who changes its settings
-    a.rate = node.number("rate", 0, 1e6);
-    a.swing = node.number("swing", 0, 1, 0);
-    a.at = node.time("at", 0, kDay, 0);
-    a.until = node.time("until", a.at, kDay, day.length);
-    a.period = node.time("period", kSecond, kDay, std::max<Micros>(kSecond, a.until - a.at));
+    const double rate = node.number("rate", 0, 1e6), swing = node.number("swing", 0, 1, 0);
+    const Micros from = node.time("at", 0, kDay, 0);
+    const Micros until = node.time("until", from, kDay, day.length);
+    const Micros period = node.time("period", kSecond, kDay, std::max<Micros>(kSecond, until - from));
     a.watchMedian = node.time("watch", 1, kDay);
     a.watchSigma = node.number("watch-sigma", 0, 5, 0.6);
     a.patience = node.time("patience", 100'000, kDay, 5 * kSecond);
@@ -124,15 +122,17 @@
     a.ownAbr = node.number("own-abr", 0, 1, 0);
     a.startWith = node.time("start-with", 0, kDay, kSecond);
     a.bufferMost = node.time("buffer", kSecond, kDay, 8 * kSecond);
-    a.zipf = node.number("zipf", 0, 5, 0.8);
-    a.hot = node.number("hot", 0, 1, 0);
+    const double zipf = node.number("zipf", 0, 5, 0.8), hot = node.number("hot", 0, 1, 0);
+    a.wanted = crowd::Zipf(talks.size(), zipf, hot);
     if (node.has("member")) a.member = memberNamed(node, day);
     a.rooms = roomsOf(node, day);
     for (const auto& [title, talk] : talks) a.titles.push_back(title);
+    std::vector<crowd::Flash> flashes;
     for (Cursor& one : node.each("flash")) {
-        a.flashes.push_back({one.time("at", 0, kDay), one.time("for", 1, kDay), one.number("times", 0, 1e4)});
+        flashes.push_back({one.time("at", 0, kDay), one.time("for", 1, kDay), one.number("times", 0, 1e4)});
         one.finish();
     }
+    a.stream = crowd::Arrivals(rate, from, until, swing, period, std::move(flashes));
     for (Cursor& one : node.each("train")) {
         Audience::Train t;
         t.viewers = static_cast<int>(one.whole("viewers", 0, 1'000'000));
--- a/src/rehearse/day.hpp
+++ b/src/rehearse/day.hpp
@@ -57,9 +57,7 @@
 
 // A modelled crowd: viewers who come by a stream, watch through their member's link, and have a patience.
 struct Audience {
-    double rate = 0, swing = 0;  // a second; up and down by that part of it
-    Micros at = 0, until = 0, period = 0;
-    std::vector<crowd::Flash> flashes;
+    crowd::Arrivals stream{0, 0, 0, 0, 1, {}};
     struct Train {
         int viewers = 0, member = 0;
         Micros at = 0, over = 0;
@@ -68,7 +66,7 @@
     int member = -1;  // all of them watch through this one's link; -1: by the members' parts
     std::vector<std::pair<double, standins::PlayerRoom>> rooms;
     std::vector<std::string> titles;
-    double zipf = 0.8, hot = 0;
+    crowd::Zipf wanted{1, 0, 0};  // of the titles
     Micros watchMedian = 0, patience = 0, back = 0;
     double watchSigma = 0, stallWeight = 0;
     double badHints = 0, smallScreens = 0, honours = 1, atOnce = 0, ownAbr = 0;
--- a/src/rehearse/drill.cpp
+++ b/src/rehearse/drill.cpp
@@ -166,20 +166,25 @@
     }
 
     // ---- players ----
-    std::optional<standins::Player::FrontAt> pickFront() {
+    // One of the fronts that listen there, by chance; none where nobody is to come any more.
+    const FrontHere* pick(std::optional<net::Endpoint> FrontHere::*where) {
         std::vector<const FrontHere*> up;
         for (const FrontHere& f : fronts_)
-            if (f.at) up.push_back(&f);
-        if (up.empty() || closing_) return std::nullopt;
-        const auto& f = *up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(chance_)];
-        return standins::Player::FrontAt{f.name, *f.at};
+            if (f.*where) up.push_back(&f);
+        if (up.empty() || closing_) return nullptr;
+        return up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(chance_)];
+    }
+    std::optional<standins::Player::FrontAt> pickFront() {
+        const FrontHere* f = pick(&FrontHere::at);
+        if (!f) return std::nullopt;
+        return standins::Player::FrontAt{f->name, *f->at};
     }
 
     standins::PlayerPlan planOf(const Crowd& crowd) {
         const auto roll = [&] { return std::uniform_real_distribution<double>(0, 1)(chance_); };
         standins::PlayerPlan plan;
-        plan.room = oneOf(crowd.rooms);
-        plan.title = oneOf(crowd.titles);
+        plan.room = oneOf(crowd.rooms, chance_);
+        plan.title = oneOf(crowd.titles, chance_);
         plan.watch = std::uniform_int_distribution<Micros>(crowd.watchLeast, crowd.watchMost)(chance_);
         plan.returns = crowd.returns;
         plan.honours = roll() < crowd.honours;
@@ -199,11 +204,8 @@
     standins::PlayerPlan planOf(const Audience& a, int member) {
         const auto roll = [&] { return crowd::unit(crowdChance_); };
         standins::PlayerPlan plan;
-        std::vector<double> parts;
-        for (const auto& [part, room] : a.rooms) parts.push_back(part);
-        plan.room =
-            a.rooms[std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(crowdChance_)].second;
-        plan.title = a.titles[crowd::Zipf(a.titles.size(), a.zipf, a.hot).draw(crowdChance_)];
+        plan.room = oneOf(a.rooms, crowdChance_);
+        plan.title = a.titles[a.wanted.draw(crowdChance_)];
         plan.watch = crowd::lognormal(a.watchMedian, a.watchSigma, 6, crowdChance_);
         plan.returns = a.returns;
         plan.back = a.back;
@@ -230,17 +232,19 @@
         return static_cast<int>(
             std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(crowdChance_));
     }
-    void comeOne(const Audience& a, int member) {
-        const int number = static_cast<int>(players_.size());
+    void come(net::Net& net, const standins::PlayerPlan& plan, std::uint64_t seed) {
         players_.push_back(std::make_unique<standins::Player>(
-            house_->netOf(member), number, planOf(a, member), [this] { return pickFront(); }, crowdChance_(),
+            net, static_cast<int>(players_.size()), plan, [this] { return pickFront(); }, seed,
             day_.ladder.worth, ledger_, [this](standins::Player&) { --active_; }));
         ++active_;
         players_.back()->start();
     }
+    void comeOne(const Audience& a, int member) {
+        const std::uint64_t seed = crowdChance_();
+        come(house_->netOf(member), planOf(a, member), seed);
+    }
     void nextOf(const Audience& a, Micros after) {
-        const crowd::Arrivals stream(a.rate, a.at, a.until, a.swing, a.period, a.flashes);
-        const auto when = stream.next(after, crowdChance_);
+        const auto when = a.stream.next(after, crowdChance_);
         if (!when) return;
         at(*when, [this, &a, when] {
             comeOne(a, a.member >= 0 ? a.member : someMember());
@@ -249,24 +253,17 @@
     }
 
     void comeOne(const Crowd& crowd) {
-        const int number = static_cast<int>(players_.size());
-        players_.push_back(std::make_unique<standins::Player>(
-            net_, number, planOf(crowd), [this] { return pickFront(); }, chance_(), day_.ladder.worth,
-            ledger_, [this](standins::Player&) { --active_; }));
-        ++active_;
-        players_.back()->start();
+        const std::uint64_t seed = chance_();
+        come(net_, planOf(crowd), seed);
     }
 
     void callOne(const Callers& some) {
-        std::vector<const FrontHere*> up;
-        for (const FrontHere& f : fronts_)
-            if (f.sip) up.push_back(&f);
-        if (up.empty() || closing_) return;
-        const FrontHere& f = *up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(chance_)];
+        const FrontHere* f = pick(&FrontHere::sip);
+        if (!f) return;
         const auto roll = [&] { return std::uniform_real_distribution<double>(0, 1)(chance_); };
-        const standins::PlayerRoom& room = oneOf(some.rooms);
+        const standins::PlayerRoom& room = oneOf(some.rooms, chance_);
         standins::CallPlan plan;
-        plan.title = oneOf(some.titles);
+        plan.title = oneOf(some.titles, chance_);
         plan.room = room.name;
         plan.timeout = room.clientTimeout;
         plan.talk = std::uniform_int_distribution<Micros>(some.talkLeast, some.talkMost)(chance_);
@@ -277,16 +274,16 @@
         ++active_;
         // Their numbers lie behind those of all players.
         callers_.push_back(std::make_unique<standins::Caller>(
-            net_, 1'000'000 + static_cast<int>(callers_.size()), *f.sip, f.name, plan, some.weather,
+            net_, 1'000'000 + static_cast<int>(callers_.size()), *f->sip, f->name, plan, some.weather,
             chance_(), ledger_, [this] { --active_; }));
         callers_.back()->start();
     }
 
-    template <class What>
-    const What& oneOf(const std::vector<std::pair<double, What>>& all) {
+    template <class What, class Chance>
+    static const What& oneOf(const std::vector<std::pair<double, What>>& all, Chance& chance) {
         std::vector<double> parts;
         for (const auto& [part, what] : all) parts.push_back(part);
-        return all[std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(chance_)].second;
+        return all[std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(chance)].second;
     }
 
     void at(Micros when, std::function<void()> what) {
--- a/src/settings/reading.cpp
+++ b/src/settings/reading.cpp
@@ -78,12 +78,16 @@
     return out;
 }
 
-Document Document::fromFile(const std::string& path) {
+std::string textOfFile(const std::string& path) {
     std::ifstream in(path, std::ios::binary);
     if (!in) throw std::runtime_error(path + ": cannot be read");
     std::ostringstream text;
     text << in.rdbuf();
-    return fromText(path, text.str());
+    return text.str();
+}
+
+Document Document::fromFile(const std::string& path) {
+    return fromText(path, textOfFile(path));
 }
 
 void Document::wrong(Place at, const std::string& what) const {
--- a/src/settings/reading.hpp
+++ b/src/settings/reading.hpp
@@ -17,6 +17,9 @@
 
 namespace valekeel::settings {
 
+// All that a file holds. Throws std::runtime_error, naming it.
+std::string textOfFile(const std::string& path);
+
 // A whole file, kept for its lines in errors.
 class Document {
   public:
--- a/src/standins/box.cpp
+++ b/src/standins/box.cpp
@@ -15,6 +15,13 @@
     static const std::string kBytes(65'536, '\x5a');
     return kBytes;
 }
+void sendFiller(http::Exchange& to, std::uint64_t bytes) {
+    while (bytes > 0) {
+        const auto part = std::min<std::uint64_t>(bytes, filler().size());
+        to.send(std::string_view(filler()).substr(0, part));
+        bytes -= part;
+    }
+}
 std::string be32(std::uint64_t v) {
     std::string out;
     for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(v >> shift & 0xff);
@@ -441,11 +448,7 @@
         drop(jobKey);
         out->begin(status, f, bytes);
         out->send(head);
-        for (std::uint64_t left = bytes - head.size(); left > 0;) {
-            const auto part = std::min<std::uint64_t>(left, filler().size());
-            out->send(std::string_view(filler()).substr(0, part));
-            left -= part;
-        }
+        sendFiller(*out, bytes - head.size());
         return out->finish();
     }
     job->left = bytes - head.size();
@@ -472,16 +475,12 @@
     if (it == jobs_.end()) return;
     it->second->travels = 0;
     http::Exchange* exchange = std::exchange(it->second->exchange, nullptr);
-    std::uint64_t left = it->second->left;
+    const std::uint64_t left = it->second->left;
     if (exchange) exchange->heldBy(nullptr);
     drop(key);
     if (!exchange) return;
     fleet_.sentBytes += left;
-    while (left > 0) {
-        const auto part = std::min<std::uint64_t>(left, filler().size());
-        exchange->send(std::string_view(filler()).substr(0, part));
-        left -= part;
-    }
+    sendFiller(*exchange, left);
     exchange->finish();
 }
 
@@ -577,12 +576,6 @@
     for (const auto& [id, box] : boxes_) roads_->boxes[id] = roads_->links.addLink(box->linkKb() * 1000);
 }
 
-double BoxFleet::memberUse(int member) {
-    roads_->links.settle();
-    const crowd::LinkNo link = roads_->members[static_cast<std::size_t>(member)];
-    return roads_->links.used(link) / std::max(1.0, roads_->links.capacity(link));
-}
-
 void BoxFleet::capacities() {
     const Micros now = net_.now();
     const auto set = [&](crowd::LinkNo link, double bytes) {
--- a/src/standins/box.hpp
+++ b/src/standins/box.hpp
@@ -129,7 +129,6 @@
     void pave(const std::vector<double>& memberKb, std::function<int(const std::string& trace)> memberOf);
     bool paved() const { return roads_ != nullptr; }
     std::vector<double> memberFactor;  // of each member's link: a script's
-    double memberUse(int member);
 
   private:
     friend class Box;
--- a/src/standins/caller.cpp
+++ b/src/standins/caller.cpp
@@ -7,11 +7,6 @@
 namespace valekeel::standins {
 namespace {
 
-std::string hex(std::uint64_t v) {
-    char out[17];
-    std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(v));
-    return out;
-}
 // The first header of that name, by plain search: a stand-in reads no more than it must.
 std::string header(const std::string& text, const std::string& name) {
     const auto at = text.find("\r\n" + name + ": ");
--- a/src/standins/ledger.cpp
+++ b/src/standins/ledger.cpp
@@ -1,5 +1,6 @@
 #include "standins/ledger.hpp"
 
+#include <cstdio>
 #include <istream>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -7,6 +8,12 @@
 
 namespace valekeel::standins {
 
+std::string hex(std::uint64_t v) {
+    char out[17];
+    std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(v));
+    return out;
+}
+
 void Ledger::write(std::ostream& out) const {
     for (const Line& l : lines_) {
         nlohmann::ordered_json j{{"at", l.at}, {"what", l.what}};
--- a/src/standins/ledger.hpp
+++ b/src/standins/ledger.hpp
@@ -21,6 +21,8 @@
     double number = 0;
 };
 
+std::string hex(std::uint64_t);  // 16 digits: what stand-ins make ids of
+
 class Ledger {
   public:
     void add(Line line) { lines_.push_back(std::move(line)); }
--- a/src/standins/player.cpp
+++ b/src/standins/player.cpp
@@ -4,16 +4,6 @@
 #include <cstdio>
 
 namespace valekeel::standins {
-namespace {
-
-std::string hex(std::uint64_t v) {
-    char out[17];
-    std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(v));
-    return out;
-}
-
-}  // namespace
-
 Player::Player(net::Net& net, int number, const PlayerPlan& plan, Pick pick, std::uint64_t seed,
                const std::vector<double>& worth, Ledger& ledger, std::function<void(Player&)> done)
     : net_(net),
--- a/tests/experiment_test.cpp
+++ b/tests/experiment_test.cpp
@@ -270,7 +270,7 @@
     const std::string text = rehearse::withSettings(
         "d.kdl", kDay, {{"audience@rate", "9"}, {"site/fleet@uplink-kb", "123"}, {"day@length", "20s"}});
     const auto day = rehearse::readDay(settings::Document::fromText("d.kdl", text));
-    EXPECT_EQ(day.audiences.front().rate, 9);
+    EXPECT_EQ(day.audiences.front().stream.rateAt(kSecond), 9);
     EXPECT_EQ(day.machines.fleet.uplinkKb, 123);
     EXPECT_EQ(day.length, 20 * kSecond);
     EXPECT_THROW(rehearse::withSettings("d.kdl", kDay, {{"audiense@rate", "9"}}), std::invalid_argument);
