A front that starts again gives back what its earlier life held at boxes

Change: at its start a front tells each box that it hears of, once, DELETE /earlier/NAME.LIFE; boxes give back what other lives of that name hold.

--- a/src/boxes/joins.cpp
+++ b/src/boxes/joins.cpp
@@ -75,6 +75,10 @@
     answers_.erase(id);
 }
 
+void Joins::endEarlierLives(SfuId at) {
+    if (told_.insert(at).second) boxes_.tell(at, "DELETE", "/earlier/" + name_, {});
+}
+
 void Joins::join(SubId id, int joinNo, SfuId at, int rung, Micros timeOut, bool paid) {
     const auto scribe = scribes_.find(id);
     JoinWords words;
--- a/src/boxes/joins.hpp
+++ b/src/boxes/joins.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "boxes/boxes.hpp"
@@ -43,6 +44,10 @@
     void scribe(SubId id, JoinScribe& one) { scribes_[id] = &one; }
     void forget(SubId);
 
+    // Tells a box, the first time that it is heard of, that what earlier lives of this front hold there is
+    // over: a front that was killed could not, and its seats would count beside those of this life.
+    void endEarlierLives(SfuId);
+
     std::string keyOf(SubId) const;  // under which boxes know it
     const JoinAnswer* answerOf(SubId) const;
 
@@ -61,6 +66,7 @@
     hls::PlaylistLimits limits_;
     std::function<void()> follow_;
     core::Core* core_ = nullptr;
+    std::set<SfuId> told_;  // of this life
     std::map<SubId, JoinScribe*> scribes_;
     std::map<SubId, std::unique_ptr<Out>> out_;
     std::map<SubId, JoinAnswer> answers_;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -351,7 +351,10 @@
                                   " stands in a cell that the settings do not have"}});
                 continue;
             }
-            if (one.at.port != 0) boxes.at(sfu.id, one.at);
+            if (one.at.port != 0) {
+                boxes.at(sfu.id, one.at);
+                joins.endEarlierLives(sfu.id);
+            }
             out.push_back(sfu);
         }
         return out;
--- a/src/standins/box.cpp
+++ b/src/standins/box.cpp
@@ -229,20 +229,31 @@
     }
 }
 
+void Box::giveBack(std::map<std::string, Sub>::iterator it) {
+    Line l = line("release");
+    l.sub = it->first;
+    l.trace = it->second.trace;
+    l.room = it->second.room;
+    l.title = it->second.title;
+    l.front = it->second.front;
+    fleet_.ledger_.add(l);
+    subs_.erase(it);
+}
+
 void Box::serve(http::Exchange& exchange) {
     const http::RequestHead& head = exchange.head();
     const std::string path = head.path(), query = head.query();
     if (head.method == "DELETE" && path.compare(0, 5, "/sub/") == 0) {
         const auto it = subs_.find(path.substr(5));
-        if (it != subs_.end()) {
-            Line l = line("release");
-            l.sub = it->first;
-            l.trace = it->second.trace;
-            l.room = it->second.room;
-            l.title = it->second.title;
-            l.front = it->second.front;
-            fleet_.ledger_.add(l);
-            subs_.erase(it);
+        if (it != subs_.end()) giveBack(it);
+        return exchange.respond(204, {}, "");
+    }
+    if (head.method == "DELETE" && path.compare(0, 9, "/earlier/") == 0) {
+        // A life of a front, as NAME.LIFE: what other lives of that name hold here is over.
+        const std::string life = path.substr(9) + ".", front = life.substr(0, life.find('.'));
+        for (auto it = subs_.begin(); it != subs_.end();) {
+            const auto one = it++;
+            if (one->second.front == front && one->first.compare(0, life.size(), life) != 0) giveBack(one);
         }
         return exchange.respond(204, {}, "");
     }
--- a/src/standins/box.hpp
+++ b/src/standins/box.hpp
@@ -92,6 +92,7 @@
     void arrived(std::uint64_t job);
     Line line(const char* what) const;
     void drop(std::uint64_t key);
+    void giveBack(std::map<std::string, Sub>::iterator);
 
     BoxFleet& fleet_;
     int id_, cell_, rack_;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -345,6 +345,28 @@
     EXPECT_EQ(rig.count("answer", 200), 1);
 }
 
+// Killed, it could give nothing back; its seats would count beside those of its next life.
+TEST(Front, WhatAnEarlierLifeHeldIsGivenBackWhenItStartsAgain) {
+    Rig rig;
+    for (int i = 0; i < 3; ++i) rig.play("paid", 20 * kSecond);
+    ASSERT_TRUE(rig.until([&] { return rig.count("answer", 200) == 3; }));
+    const auto held = [&] {
+        std::size_t sum = 0;
+        for (int id = 0; id < 3; ++id) sum += rig.fleet->box(id).playing();
+        return sum;
+    };
+    EXPECT_EQ(held(), 3u);
+    rig.front.reset();
+    rig.run(100'000);
+    EXPECT_EQ(held(), 3u) << "nobody told them";
+    rig.startFront();
+    ASSERT_TRUE(rig.until([&] { return held() == 0; }, kSecond));
+    for (int i = 0; i < 3; ++i) rig.play("paid", 300'000);
+    ASSERT_TRUE(rig.until([&] { return rig.count("answer", 200) >= 6; }));
+    EXPECT_EQ(rig.front->core().counts().played, 3u) << "what this life holds stays";
+    rig.expectRules();
+}
+
 TEST(Front, ABrokenKeptListIsNoReasonNotToStart) {
     Rig rig;
     rig.front.reset();
