Viewers of a live title gather, own zones first, short notes find narrow uplinks

Change: untold uplinks are all taken alike, at a figure that rises with the part of own subscriptions that are short; a short note marks the uplink where the link is not believed its cause; a front that is told 'full' believes it; an empty link gets the join but no higher rung; a shared stream's further viewer counts 'join' of the rate, at the 15% of a title's holders that all fronts rank alike by a hash, at every second rung; the price of crossing a zone joins the score, three times its told weight.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -13,6 +13,7 @@
 #include <limits>
 #include <map>
 #include <random>
+#include <tuple>
 
 #include "model/histogram.hpp"
 
@@ -27,6 +28,7 @@
 constexpr double kAlphaRate = 0.8;
 constexpr double kFill = 0.9;        // a pair that would fill more of the room than this is skipped
 constexpr double kLeastFree = 0.02;  // part of a link that is never taken to be gone, to divide by
+constexpr double kCrossing = 3;      // how the price of crossing zones weighs beside the rate
 constexpr double kNearTie = 0.02;    // scores so near each other are settled by chance
 constexpr double kLinkTie = 0.3;   // how the link weighs beside the narrower of link and uplink, if none fits
 constexpr double kOverfull = 1.0;  // a lowest rung that fills a link beyond this is throttled
@@ -52,6 +54,19 @@
 constexpr double kUplinkBack = 0.05;  // an uplink found narrow widens by so much a second while used and well
 constexpr double kLikelyLeft = 25;    // seconds that a subscription without a hint is taken to go on
 
+// ---- where media servers tell their load to probes alone ----
+constexpr double kUplinkUntold = 0.75;  // what an uplink is taken to be asked, ...
+constexpr double kUplinkShort = 0.3;  // ... more by the part of own subscriptions that get short delivery ...
+constexpr double kUplinkMost = 0.88;  // ... and at most
+constexpr double kShortMoves = 0.05;  // part that a look moves that part
+constexpr Micros kFullTold = 3 * kSecond;  // a short note says so long that an uplink is full
+constexpr double kEmptier = 0.3;           // how a link counts among those that get the same rung
+
+// ---- live streams that viewers share ----
+constexpr double kGather = 0.15;  // part of a live title's holders that all fronts bring its viewers to ...
+constexpr int kShareSteps = 2;    // gathered viewers are set up at every second rung, to meet at it
+constexpr std::size_t kGatherLeast = 2;  // ... and so many at least
+
 // ---- health: a sequential test, H1 "half of its joins fail" against H0 "two in a hundred do" ----
 const double kFailStep = std::log(0.5 / 0.02);
 const double kGoodStep = std::log(0.5 / 0.98);
@@ -75,7 +90,7 @@
   public:
     Desk(Host& host, Micros now, std::uint64_t seed, int fronts, const Ladder& ladder,
          const std::vector<RoomType>& rooms, const Fleet& fleet, const ColdTerms& cold,
-         const JoinBudget* budget, const Tidings& tidings, const Allowed& allowed)
+         const JoinBudget* budget, const Tidings& tidings, const Allowed& allowed, const Prices& prices)
         : host_(host),
           bornAt_(now),
           chance_(static_cast<std::knuth_b::result_type>(seed)),
@@ -86,6 +101,7 @@
           cold_(cold),
           tidings_(tidings),
           allowed_(allowed),
+          prices_(prices),
           setups_(kSetupEdges) {
         if (budget) budget_ = *budget;
         for (const RoomType& r : rooms_) meanBenefit_ += r.benefit / static_cast<double>(rooms_.size());
@@ -115,6 +131,7 @@
             s.cell = e.cell;
             s.kind = e.kind;
             s.size = e.size;
+            s.zone = e.zone;
         }
         double places = 0;
         for (const auto& [id, s] : sfus_)
@@ -211,6 +228,8 @@
                 break;
             case JoinEnd::Full:
                 s.fullUntil = now + kSecond;
+                if (fleet_.fullFrom > 0 && asksLoad())
+                    hearLink(now, s, std::max(fleet_.fullFrom, linkAsked(now, s)), 0, 1);
                 break;
             default:
                 break;
@@ -236,6 +255,17 @@
         placeAll(now);
     }
 
+    void probed(Micros now, SfuId at, JoinEnd end, const Load& load) {
+        auto it = sfus_.find(at);
+        if (it == sfus_.end()) return;
+        Sfu& s = it->second;
+        s.askedAt = 0;
+        if (end != JoinEnd::Played || !load.linkUse) return;
+        if (s.shortBy > 0 && now - s.shortAt < 2 * kSecond && *load.linkUse < kLinkClear * s.shortBy)
+            uplinkShort(now, s);
+        hearLink(now, s, *load.linkUse, kAnswerAge, 1);
+    }
+
     void viewerLeft(Micros, SubId id) {
         auto it = subs_.find(id);
         if (it == subs_.end()) return;
@@ -258,7 +288,11 @@
         // of the link comes, which is as old as the note.
         s.shortAt = now;
         s.shortBy = 1 / std::max(0.05, share);
-        hearLink(now, s, std::max(s.shortBy, linkAsked(now, s)), tidings_.late, 1);
+        // Where no figure will come, the one believed stands in for it.
+        if (asksLoad() && linkAsked(now, s) < kLinkClear * s.shortBy && uplinkShort(now, s))
+            hearUplink(now, rackOf(s), s.shortBy, tidings_.late, 1);
+        else
+            hearLink(now, s, std::max(s.shortBy, linkAsked(now, s)), tidings_.late, 1);
     }
 
     void rungInForce(Micros now, SubId id, int rung) {
@@ -304,6 +338,8 @@
         bool mayHaveRun = false;  // some earlier join is not proven never to have run
         bool overdue = false;     // its silence has been held against the media server
         bool gone = false;
+        bool gathered = false;  // it plays where all fronts bring its title's viewers
+        double bookedKb = 0;    // what it is taken to add to its link
     };
 
     struct Pipe {  // a link or an uplink, as told
@@ -328,6 +364,7 @@
         Cell cell;
         KindId kind;
         double size = 1;
+        ZoneId zone;
         Micros startedAt = 0, mayHaveRestartedAt = 0;
         Pipe link;
         double ownKb = 0;
@@ -339,6 +376,7 @@
         Micros coldSeenAt = 0;  // when this front learnt that it may be cold
         double phase = 0;       // drawn then: where its own turn lies among those of all fronts
         int joinsOut = 0;
+        Micros askedAt = 0;  // when its load was asked for; 0: no probe is out
     };
 
     const RoomType& roomOf(const Sub& sub) const { return rooms_[sub.wish.room.v]; }
@@ -357,6 +395,49 @@
     }
     std::size_t rackOf(const Sfu& s) const { return s.cell.v % uplinks_.size(); }
 
+    // ================= shared streams =================
+
+    bool shares(const Sub& sub) const { return roomOf(sub).live && ladder_.joinPart < 1; }
+
+    // What a subscription adds to a link: a further viewer of a shared live stream only a part of its rate.
+    // Of what plays there through other fronts nothing is told; where all fronts gather, it is taken to play.
+    double addsKb(const Sub& sub, SfuId at, int rung, bool gathered) const {
+        if (!shares(sub)) return kbOf(sub, rung);
+        return (gathered || streams_.contains({at, sub.wish.room, sub.wish.title, rung}) ? ladder_.joinPart
+                                                                                         : 1) *
+               kbOf(sub, rung);
+    }
+    void count(const Sub& sub, int sign) {
+        if (!shares(sub)) return;
+        const auto it = streams_.try_emplace({sub.at, sub.wish.room, sub.wish.title, sub.rung}, 0).first;
+        if ((it->second += sign) <= 0) streams_.erase(it);
+    }
+
+    // Fronts share nothing, yet all rank the holders of a title alike, by a hash of title and id. Its viewers
+    // gather at the first few that are well, warm and not believed to be full.
+    std::vector<SfuId> gathering(Micros now, const Sub& sub) {
+        std::vector<std::pair<std::uint64_t, SfuId>> order;
+        if (!shares(sub)) return {};
+        std::uint64_t title = 14695981039346656037u;
+        for (const char c : sub.wish.title.v)
+            title = (title ^ static_cast<unsigned char>(c)) * 1099511628211u;
+        for (const auto& [id, s] : sfus_) {
+            if (!holds(sub, s) || s.standing != Standing::On || warmShare(now, s) < 1 || setAside(now, s))
+                continue;
+            std::uint64_t mixed = (title ^ id.v) * 0x9E3779B97F4A7C15u;
+            mixed = (mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9u;
+            order.emplace_back(mixed ^ (mixed >> 32), id);
+        }
+        const std::size_t few =
+            std::min(order.size(),
+                     std::max(kGatherLeast,
+                              static_cast<std::size_t>(kGather * std::min(sub.wish.holders, fleet_.cells))));
+        std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(few), order.end());
+        std::vector<SfuId> out;
+        for (std::size_t i = 0; i < few; ++i) out.push_back(order[i].second);
+        return out;
+    }
+
     // ================= room =================
 
     // What a media server's link gives, as told; less while it is young, as its link is cold too.
@@ -399,9 +480,12 @@
         std::vector<double> use(uplinks_.size(), 0);
         for (const auto& [id, s] : sfus_)
             if (s.standing != Standing::Off) use[rackOf(s)] += linkAsked(now, s) * linkKb(now, s);
+        // Where no figure comes, what could be guessed of one uplink is no better than what is guessed of
+        // all, and all fronts would guess alike: the rack that looked emptiest would get everyone's joins.
+        const double untold = std::min(kUplinkMost, kUplinkUntold + kUplinkShort * shortPart_);
         for (std::size_t rack = 0; rack < use.size(); ++rack) {
             const Uplink& up = uplinks_[rack];
-            use[rack] = up.kb > 0 ? use[rack] / up.kb : 0;
+            use[rack] = up.kb <= 0 ? 0 : asksLoad() ? untold : use[rack] / up.kb;
             if (up.kb <= 0 || !up.pipe.told) continue;
             const double trust = std::exp2(-seconds(now - up.pipe.at) / kUseHalfLife);
             use[rack] = trust * carried(up.pipe, up.kb) + (1 - trust) * use[rack];
@@ -440,17 +524,20 @@
         if (uplinks_[rack].kb > 0) hear(now, uplinks_[rack].pipe, uplinks_[rack].kb, use, age, part);
     }
 
+    // Its figures come by themselves; where none do, short notes alone mark it full.
+    bool speaks(const Uplink& up) const { return up.pipe.told && !asksLoad(); }
+
     // Delivery is short by more than the link explains: the uplink is the narrow one.
-    void uplinkShort(Micros now, const Sfu& s) {
+    bool uplinkShort(Micros now, const Sfu& s) {
         const std::size_t rack = rackOf(s);
         Uplink& up = uplinks_[rack];
-        if (up.pipe.told || up.kb <= 0) return;  // one that is told speaks for itself
+        if (speaks(up) || up.kb <= 0) return false;  // one that is told speaks for itself
         // A narrow uplink makes every media server behind it short; one that is well clears it.
         int alsoShort = 0, well = 0;
         for (const auto& [id, one] : sfus_)
             if (one.standing != Standing::Off && rackOf(one) == rack && one.ownKb > 0)
                 ++(now - one.shortAt < 2 * kSecond ? alsoShort : well);
-        if (well > alsoShort) return;
+        if (well > alsoShort) return false;
         up.shortAt = now;
         // The shortness is of a while ago, and so must be what was asked: drops since then have made room.
         double then = 0;
@@ -461,6 +548,7 @@
                 one.link.told ? kb * carried(one.link, kb, now - tidings_.late) : kb * linkAsked(now, one);
         }
         up.kb = std::clamp(then / s.shortBy, 0.1 * up.nominalKb, up.kb);
+        return true;
     }
 
     // A note at set-up speaks of now, the others of a while ago.
@@ -474,7 +562,12 @@
     // Books a subscription's rate and seat on its media server, or frees them.
     void hold(Micros now, Sub& sub, int sign) {
         Sfu& s = sfus_[sub.at];
-        shift(now, s, sign * kbOf(sub, sub.rung));
+        if (sign > 0) {
+            sub.bookedKb = addsKb(sub, sub.at, sub.rung, sub.gathered);
+            count(sub, +1);
+        }
+        shift(now, s, sign * sub.bookedKb);
+        if (sign < 0) count(sub, -1);
         const auto seat = seats_.try_emplace({sub.wish.room, sub.wish.title}, 0).first;
         if ((seat->second += sign) <= 0) seats_.erase(seat);
         if (sub.state == State::Joining || (sign > 0 && sub.state == State::Waiting)) s.joinsOut += sign;
@@ -494,8 +587,12 @@
 
     void setRung(Micros now, Sub& sub, int rung) {
         const int kept = std::clamp(rung, 0, static_cast<int>(ladder_.kb.size()) - 1);
-        shift(now, sfus_[sub.at], kbOf(sub, kept) - kbOf(sub, sub.rung));
+        count(sub, -1);
         sub.rung = kept;
+        const double kb = addsKb(sub, sub.at, kept, sub.gathered);
+        count(sub, +1);
+        shift(now, sfus_[sub.at], kb - sub.bookedKb);
+        sub.bookedKb = kb;
     }
 
     // ================= the rules: the one place that every join passes =================
@@ -505,10 +602,7 @@
         if (sub.state != State::Waiting || sub.gone) return false;  // one join out, no answer given
         if (now >= sub.wish.giveUpAt || sub.joins >= allowed_.joinsEach) return false;
         if (s.standing != Standing::On) return false;  // drains are kept
-        const auto cells = static_cast<std::uint32_t>(fleet_.cells);
-        if ((s.cell.v + cells - sub.wish.firstCell.v % cells) % cells >=
-            static_cast<std::uint32_t>(std::max(0, sub.wish.holders)))
-            return false;                               // it does not hold the title
+        if (!holds(sub, s)) return false;
         if (room.paid && sub.mayHaveRun) return false;  // no set-up twice
         if (room.keyed && sub.mayHaveRun &&
             ((!room.anyGroup && id != sub.at) || now - sub.joinedAt >= room.repeatWithin))
@@ -518,6 +612,12 @@
         return coldTurn(now, sub, s) <= turnBy;
     }
 
+    bool holds(const Sub& sub, const Sfu& s) const {
+        const auto cells = static_cast<std::uint32_t>(fleet_.cells);
+        return (s.cell.v + cells - sub.wish.firstCell.v % cells) % cells <
+               static_cast<std::uint32_t>(std::max(0, sub.wish.holders));
+    }
+
     int seatsLeft(const Sub& sub) const {
         const int seats = roomOf(sub).seats;
         if (seats <= 0) return 1;
@@ -573,6 +673,11 @@
     // wake that ends a slot may come late.
     static bool tooLateToWait(Micros now, const Sub& sub) { return sub.wish.giveUpAt - now <= 2 * kSlot; }
 
+    // Serving from another zone is paid for by the second, so a slot's score counts it beside the rate.
+    double crossing(const Sfu& s) const {
+        return s.zone == fleet_.zone ? 0 : kCrossing * kAlphaRate * prices_.crossZone;
+    }
+
     bool setAside(Micros now, const Sfu& s) const {
         return s.evidence >= kVerdict && (now < s.askAgainAt || s.joinsOut > 0);
     }
@@ -597,6 +702,7 @@
         Sub& sub = found->second;
         double best = 1e18, roomiest = 1e18, askedThere = 0;
         const std::vector<double> uplinks = uplinksAsked(now);
+        const std::vector<SfuId> gather = gathering(now, sub);
         std::optional<SfuId> chosen, fallback;
         int chosenRung = floorOf(sub), among = 0;
         const double middle = ladder_.kb[ladder_.kb.size() / 2];
@@ -604,25 +710,34 @@
             if (!mayJoin(now, sub, sfuId, s, now) || setAside(now, s) || now < s.fullUntil) continue;
             if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
             ++among;
+            const bool here = std::find(gather.begin(), gather.end(), sfuId) != gather.end();
             const double link = linkAsked(now, s), uplink = uplinks[rackOf(s)];
             // Of most media servers a front knows nothing, and all fronts would take the first of those
             // alike.
-            const double doubt = kDoubtWeight * std::max(0.0, s.evidence) +
+            const double doubt = kDoubtWeight * std::max(0.0, s.evidence) + crossing(s) +
                                  std::uniform_real_distribution<double>(0, kNearTie)(chance_);
             // Link and uplink lie one behind the other: their fetch times add up. The larger alone would
             // leave the media servers of a crowded rack alike, however empty some of their links are.
             const double slowness =
-                (1 / std::max(kLeastFree, 1 - link) + 1 / std::max(kLeastFree, 1 - uplink)) / 2;
+                (1 / std::max(kLeastFree, 1 - (asksLoad() ? std::max(link, fleetUse_) : link)) +
+                 1 / std::max(kLeastFree, 1 - uplink)) /
+                    2 +
+                (asksLoad() ? kEmptier * link : 0);
             const double crowd = std::max(link, uplink) + kLinkTie * link + doubt;
             if (crowd < roomiest) {
                 roomiest = crowd;
-                askedThere = std::max(link, uplink) + kbOf(sub, floorOf(sub)) / linkKb(now, s);
+                // No guess about an uplink turns a viewer away: a refused one asks again and earns nothing.
+                const bool told = !asksLoad() || (uplinks_[rackOf(s)].pipe.told &&
+                                                  now - uplinks_[rackOf(s)].pipe.at < kFullTold);
+                askedThere = std::max(link, told ? uplink : 0) +
+                             addsKb(sub, sfuId, floorOf(sub), here) / linkKb(now, s);
                 fallback = sfuId;
             }
             const double room = (1 - link) * linkKb(now, s);
             const double rackRoom = (1 - uplink) * uplinks_[rackOf(s)].kb;
             for (int rung = floorOf(sub); rung <= topOf(sub); ++rung) {
-                const double kb = kbOf(sub, rung);
+                if (here && (rung - floorOf(sub)) % kShareSteps != 0) continue;
+                const double kb = addsKb(sub, sfuId, rung, here);
                 if (kb > kFill * room || (uplinks_[rackOf(s)].kb > 0 && kb > kFill * rackRoom)) continue;
                 const double fetch = kb / middle * slowness;
                 const double gap = (rung - floorOf(sub)) / static_cast<double>(ladder_.kb.size());
@@ -640,6 +755,7 @@
         if (!chosen && fallback && askedThere <= kOverfull) chosen = fallback;
         if (chosen) {
             host_.chose(id, *chosen, fits ? &best : nullptr, among);
+            sub.gathered = std::find(gather.begin(), gather.end(), *chosen) != gather.end();
             sendJoin(now, id, sub, *chosen, chosenRung);
             return;
         }
@@ -650,6 +766,14 @@
             giveUp(now, id);
     }
 
+    bool asksLoad() const { return allowed_.probes && tidings_.every == 0; }
+    void askLoad(Micros now, SfuId id) {
+        Sfu& s = sfus_[id];
+        if (s.askedAt > 0) return;
+        s.askedAt = now;
+        host_.probe(id);
+    }
+
     bool holderMayComeFree(Micros now, const Sub& sub, Micros by) {
         return std::any_of(sfus_.begin(), sfus_.end(), [&](const auto& entry) {
             const Sfu& s = entry.second;
@@ -743,7 +867,7 @@
             sum += carried(s.link, linkKb(now, s));
             ++count;
         }
-        fleetUse_ = count > 0 ? sum / count : kUseUntold;
+        if (!asksLoad()) fleetUse_ = count > 0 ? sum / count : kUseUntold;
         const std::vector<double> uplinks = uplinksAsked(now);
         for (std::size_t rack = 0; rack < uplinks_.size(); ++rack) {
             Uplink& up = uplinks_[rack];
@@ -751,16 +875,18 @@
                 up.pipe.changes.pop_front();
             // A width learnt from a shortness fades while the uplink is used and nothing is short: quickly to
             // what was told, beyond it only if the uplink is nearly full by that.
-            const double used = up.pipe.told ? 0 : uplinks[rack];
+            const double used = speaks(up) ? 0 : uplinks[rack];
             if (now - up.shortAt > 3 * kSecond && used > (up.kb < up.nominalKb ? 0.5 : 0.9))
                 up.kb *= 1 + kUplinkBack * seconds(kRound);
         }
         std::map<SfuId, std::vector<SubId>> mine;
-        double kbAll = 0, kbFree = 0, value = 0, steps = 0;
+        double kbAll = 0, kbFree = 0, value = 0, steps = 0, inAll = 1, inShort = 0;
         for (auto& [id, sub] : subs_) {
             if (sub.state == State::Playing) {
                 mine[sub.at].push_back(id);
                 kbAll += kbOf(sub, sub.rung);
+                ++inAll;
+                if (now - sfus_[sub.at].shortAt < 2 * kSecond) ++inShort;
                 for (int rung = std::max(1, sub.rung); rung <= std::min(sub.rung + 1, topOf(sub)); ++rung) {
                     value += stepValue(sub, rung);
                     ++steps;
@@ -774,6 +900,7 @@
             }
         }
         if (steps > 0) typicalValue_ += (value / steps - typicalValue_) * (typicalValue_ > 0 ? kNewValue : 1);
+        shortPart_ += kShortMoves * (inShort / inAll - shortPart_);
         freeable_ = kbAll > 0 ? kbFree / kbAll : 1;
         for (auto& [at, ids] : mine) {
             const double use = knownAsked(now, sfus_[at]);
@@ -800,7 +927,8 @@
             for (SubId id : ids) {
                 const Sub& sub = subs_.at(id);
                 if (sub.rung <= floorOf(sub) || now - sub.changedAt < kDropPause) continue;
-                const double cost = stepValue(sub, sub.rung);
+                if (lessBy(sub) <= 0) continue;  // it leaves a shared stream for one of its own
+                const double cost = (earns(sub, sub.rung) - earns(sub, sub.rung - 1)) / lessBy(sub);
                 if (cost < least) {
                     least = cost;
                     pick = id;
@@ -808,7 +936,7 @@
             }
             if (!pick) return;
             Sub& sub = subs_.at(*pick);
-            const double less = kbOf(sub, sub.rung) - kbOf(sub, sub.rung - 1);
+            const double less = lessBy(sub);
             if (!byLot(toFree, less, typicalValue_ / least)) return;
             toFree -= less;
             retune(now, *pick, sub, sub.rung - 1);
@@ -840,7 +968,7 @@
             for (SubId id : ids) {
                 const Sub& sub = subs_.at(id);
                 if (sub.rung >= topOf(sub) || (sub.changedAt > 0 && now - sub.changedAt < kQuiet)) continue;
-                const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
+                const double more = moreBy(sub);
                 if (more > room) continue;
                 const double gain = earns(sub, sub.rung + 1) - earns(sub, sub.rung);
                 if (gain * secondsLeft(now, sub) < kEarnBack * ladder_.switchSeconds * roomOf(sub).benefit)
@@ -852,13 +980,20 @@
             }
             if (!pick) return;
             Sub& sub = subs_.at(*pick);
-            const double more = kbOf(sub, sub.rung + 1) - kbOf(sub, sub.rung);
+            const double more = moreBy(sub);
             if (!byLot(part, more, most / typicalValue_)) return;
             part -= more;
             retune(now, *pick, sub, sub.rung + 1);
         }
     }
 
+    // What a step down frees, and what one up adds.
+    double lessBy(const Sub& sub) const {
+        return sub.bookedKb - addsKb(sub, sub.at, sub.rung - 1, sub.gathered);
+    }
+    double moreBy(const Sub& sub) const {
+        return std::max(1.0, addsKb(sub, sub.at, sub.rung + 1, sub.gathered) - sub.bookedKb);
+    }
     // Benefit per kB of the step up to this rung.
     double stepValue(const Sub& sub, int rung) const {
         return (earns(sub, rung) - earns(sub, rung - 1)) / (kbOf(sub, rung) - kbOf(sub, rung - 1));
@@ -892,17 +1027,20 @@
     std::optional<JoinBudget> budget_;
     Tidings tidings_;
     Allowed allowed_;
+    Prices prices_;
 
     std::map<SfuId, Sfu> sfus_;
     std::map<SubId, Sub> subs_;
     std::vector<Uplink> uplinks_;
     std::vector<SubId> waiting_;
     std::map<std::pair<RoomTypeId, TitleId>, int> seats_;
+    std::map<std::tuple<SfuId, RoomTypeId, TitleId, int>, int> streams_;  // own viewers of a shared stream
     std::deque<Micros> taken_, further_;
     Histogram setups_;
     double meanBenefit_ = 0, kbPerPlace_ = 0, fleetUse_ = kUseUntold;
     double typicalValue_ = 0;  // benefit per kB of a step of own subscriptions; others are taken to be alike
-    double freeable_ = 1;  // part of own rates above the floor that may be given up now; others fare alike
+    double freeable_ = 1;   // part of own rates above the floor that may be given up now; others fare alike
+    double shortPart_ = 0;  // of own subscriptions that get short delivery
     double takenInWarmUp_ = 0;  // requests, fading by that time
     Micros lastTakenAt_ = 0;
     bool slotOpen_ = false, listStale_ = false, handedOver_ = false;
@@ -910,9 +1048,9 @@
 
 Logic::Logic(Host& host, Micros now, std::uint64_t seed, int fronts, const Ladder& ladder,
              const std::vector<RoomType>& rooms, const Fleet& fleet, const ColdTerms& cold,
-             const JoinBudget* budget, const Tidings& tidings, const Allowed& allowed)
+             const JoinBudget* budget, const Tidings& tidings, const Allowed& allowed, const Prices& prices)
     : desk_(std::make_unique<Desk>(host, now, seed, fronts, ladder, rooms, fleet, cold, budget, tidings,
-                                   allowed)) {}
+                                   allowed, prices)) {}
 Logic::~Logic() = default;
 
 void Logic::listed(Micros now, std::span<const ListedSfu> entries, bool stale) {
@@ -951,6 +1089,9 @@
 void Logic::uplinkUse(Micros now, SubId id, SfuId at, double use) {
     desk_->uplinkUse(now, id, at, use);
 }
+void Logic::probed(Micros now, SfuId at, JoinEnd end, const Load& load) {
+    desk_->probed(now, at, end, load);
+}
 void Logic::woken(Micros now, const std::string& why) {
     desk_->woken(now, why);
 }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -24,6 +24,7 @@
     virtual void wakeAfter(Micros, const std::string& why) = 0;
     virtual void followList() = 0;  // where the list must be asked for; listFailed() says if that failed
     virtual void log(const std::string&) = 0;
+    virtual void probe(SfuId) {}  // only where Allowed::probes says so; each is answered by probed()
     // For the record, just before a join: what decided it. The lowest score wins; none: nothing fits, and the
     // lowest rung goes to the roomiest of so many.
     virtual void chose(SubId, SfuId, const double* /*score*/, int /*among*/) {}
@@ -33,7 +34,8 @@
 class Logic {
   public:
     Logic(Host&, Micros now, std::uint64_t seed, int fronts, const Ladder&, const std::vector<RoomType>&,
-          const Fleet&, const ColdTerms&, const JoinBudget* budget, const Tidings&, const Allowed&);
+          const Fleet&, const ColdTerms&, const JoinBudget* budget, const Tidings&, const Allowed&,
+          const Prices& = {});
     ~Logic();
     Logic(const Logic&) = delete;
     Logic& operator=(const Logic&) = delete;
@@ -49,6 +51,7 @@
     void playing(Micros now, SubId, int joinNo, SfuId, Micros took);
     void joinEnded(Micros now, SubId, int joinNo, SfuId, JoinEnd, bool over, Micros took, const Load&);
     void viewerLeft(Micros now, SubId);
+    void probed(Micros now, SfuId, JoinEnd, const Load&);  // Played: it answered
 
     void shareDelivered(Micros now, SubId, SfuId, double share);
     void rungInForce(Micros now, SubId, int rung);
--- a/src/model/records.hpp
+++ b/src/model/records.hpp
@@ -15,6 +15,7 @@
     std::vector<double> worth;  // part of the benefit that each rung earns
     double stallLoss = 0;       // points of benefit lost for each point of the rate that is missing
     double switchSeconds = 0;   // a change of rung costs so many seconds of benefit
+    double joinPart = 1;        // part of the rate that a further viewer of a live stream adds; 1: all of it
 };
 
 struct RoomType {
@@ -28,7 +29,8 @@
     double rateFactor = 1;
     int floor = 0;
     int top = 0;
-    int seats = 0;  // 0: no cap
+    int seats = 0;      // 0: no cap
+    bool live = false;  // its titles are live: viewers of one at one media server and rung may share
 };
 
 struct Fleet {
@@ -40,6 +42,8 @@
     bool sizesTold = false;    // entries of the list carry a size
     bool listAsked = false;    // the list comes only to those who follow it
     std::vector<int> places;   // for each kind: streams at most
+    ZoneId zone{};             // the front's own
+    double fullFrom = 0;  // a media server turns set-ups away while so much of its link is asked; 0: never
 };
 
 struct ColdTerms {  // of a media server that has just started
@@ -64,6 +68,12 @@
     int joinsEach = 1;
     bool comeBack = false;  // a viewer may be told when to come again
     Micros comeBackAtMost = 0;
+    bool probes = false;  // media servers may be asked, and tell their load
+};
+
+struct Prices {            // in parts of the benefit that is asked for
+    double probe = 0;      // one probe for each first request
+    double crossZone = 0;  // every subscription served from another zone
 };
 
 enum class Standing { On, Fading, Off };
@@ -75,6 +85,7 @@
     Cell cell;
     KindId kind;
     double size = 1;
+    ZoneId zone{};
 };
 
 struct Wish {  // what a viewer asks for
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -113,6 +113,17 @@
     return out;
 }
 
+std::vector<bool> flags(const Json& object, const char* key, const std::string& where) {
+    std::vector<bool> out;
+    if (!find(object, key)) return out;
+    for (const Json& value : array(object, key, where)) {
+        if (!value.is_boolean())
+            bad(where, std::string("'") + key + "' holds what is neither true nor false");
+        out.push_back(value.get<bool>());
+    }
+    return out;
+}
+
 std::uint32_t placeOf(const std::vector<std::string>& names, const std::string& name,
                       const std::string& where) {
     for (std::size_t i = 0; i < names.size(); ++i)
@@ -160,14 +171,22 @@
             kinds_.push_back(kind.get<std::string>());
         }
 
+        for (const Json& zone : find(setup, "zones") ? array(setup, "zones", where) : Json::array()) {
+            if (!zone.is_string()) bad(where, "'zones' holds what is no text");
+            zones_.push_back(zone.get<std::string>());
+        }
+
         Ladder ladder{numbers(video, "ladder_kb", where), numbers(video, "ladder_worth", where),
-                      numberOr(video, "stall", 0, where), numberOr(video, "switch_cost_s", 0, where)};
+                      numberOr(video, "stall", 0, where), numberOr(video, "switch_cost_s", 0, where),
+                      numberOr(video, "join", 1, where)};
+        if (ladder.joinPart < 0 || ladder.joinPart > 1) bad(where, "'join' is no part of a rate");
         if (ladder.kb.empty() || ladder.kb.size() != ladder.worth.size())
             bad(where, "'ladder_kb' and 'ladder_worth' do not match");
         const auto factors = numbers(video, "rate_factor", where);
         const auto floors = numbers(video, "lowest_rung", where);
         const auto tops = numbers(video, "highest_rung", where);
         const auto seats = numbers(video, "licence_cap", where);
+        const auto lives = flags(video, "is_live", where);
         std::vector<RoomType> rooms;
         for (const Json& room : array(setup, "request_classes", where)) {
             const std::size_t at = rooms.size();
@@ -181,7 +200,7 @@
                              textOr(room, "group", "all", where) == "all",
                              timeOr(room, "repeat_window", where), factors[at], static_cast<int>(floors[at]),
                              std::min(static_cast<int>(tops[at]), static_cast<int>(ladder.kb.size()) - 1),
-                             static_cast<int>(seats[at])});
+                             static_cast<int>(seats[at]), at < lives.size() && lives[at]});
             rooms_.push_back(rooms.back().name);
         }
         Fleet fleet;
@@ -191,6 +210,7 @@
         fleet.linksKb = number(video, "links_kb", where);
         fleet.linkKbPerSize = numberOr(video, "weight_kb", 0, where);
         fleet.uplinkKb = numberOr(video, "rack_link_kb", 0, where);
+        fleet.fullFrom = numberOr(video, "full_from", 0, where);
         const std::string weights = textOr(setup, "weights", "none", where);
         fleet.listAsked = textOr(setup, "discovery", "push", where) == "ask";
         fleet.sizesTold = weights == "nominal" || weights == "rough";
@@ -198,6 +218,8 @@
             fleet.places.push_back(static_cast<int>(places));
         if (fleet.places.size() != kinds_.size()) bad(where, "'places_by_kind' does not match 'host_types'");
 
+        if (find(setup, "zone")) fleet.zone = ZoneId{placeOf(zones_, text(setup, "zone", where), where)};
+
         const ColdTerms cold{time(rules, "cold", where), number(rules, "start_capacity", where),
                              number(rules, "fall_multiple", where), time(rules, "tip_after", where)};
         std::optional<JoinBudget> budget;
@@ -205,15 +227,23 @@
             budget = JoinBudget{numberOr(rules, "spare_attempts", 0, where),
                                 numberOr(rules, "resend_ratio", 0, where), time(rules, "look_back", where)};
         const Tidings tidings{timeOr(video, "told_late", where), timeOr(video, "told_every", where)};
-        const Allowed leave{smallInt(allowed, "attempts_cap", where), flag(allowed, "retry_after", where),
-                            timeOr(allowed, "max_retry_after", where)};
+        const Allowed leave{
+            smallInt(allowed, "attempts_cap", where), flag(allowed, "retry_after", where),
+            timeOr(allowed, "max_retry_after", where),
+            find(allowed, "probes") && flag(allowed, "probes", where) && tellsLoad(setup, where)};
+        Prices prices;
+        if (const Json* told = find(setup, "prices")) {
+            prices.probe = numberOr(*told, "probe", 0, where);
+            prices.crossZone = numberOr(*told, "cross_zone", 0, where);
+        }
         const Json& seed = need(hello, "rng_seed", where);
         if (!seed.is_number_integer()) bad(where, "'rng_seed' is no whole number");
         const std::uint64_t seedValue = seed.is_number_unsigned()
                                             ? seed.get<std::uint64_t>()
                                             : static_cast<std::uint64_t>(seed.get<std::int64_t>());
-        logic_ = std::make_unique<Logic>(*this, now, seedValue, smallInt(setup, "balancers", where), ladder,
-                                         rooms, fleet, cold, budget ? &*budget : nullptr, tidings, leave);
+        logic_ =
+            std::make_unique<Logic>(*this, now, seedValue, smallInt(setup, "balancers", where), ladder, rooms,
+                                    fleet, cold, budget ? &*budget : nullptr, tidings, leave, prices);
     }
 
     void hear(const std::string& verb, const Json& event, Micros now, Json& cmds, const std::string& where) {
@@ -250,9 +280,12 @@
                 default:
                     break;  // a kind of note that this page of the wire does not know yet
             }
+        } else if (verb == "Health") {
+            logic_->probed(now, sfu(event, where), endOf(whole(event, "verdict", where), where),
+                           load(event, where));
         } else if (verb == "Wakeup") {
             logic_->woken(now, text(event, "key_back", where));
-        } else if (verb != "Health" && verb != "Heard") {  // the module asks for neither
+        } else if (verb != "Heard") {  // the module sends no messages
             bad(where, "verb '" + verb + "' is unknown");
         }
     }
@@ -274,6 +307,8 @@
             entry.cell = Cell{find(record, "position") ? id32(record, "position", where) : 0};
             if (find(record, "sku")) entry.kind = KindId{placeOf(kinds_, text(record, "sku", where), where)};
             entry.size = numberOr(record, "share", 1, where);
+            if (find(record, "zone"))
+                entry.zone = ZoneId{placeOf(zones_, text(record, "zone", where), where)};
             entries.push_back(entry);
         }
         if (mode == "Partial")
@@ -302,6 +337,7 @@
     void wakeAfter(Micros after, const std::string& why) override {
         act("WakeMe", {{"key_back", why}, {"after", seconds(after)}});
     }
+    void probe(SfuId at) override { act("Inspect", {{"server", at.v}}); }
     void log(const std::string& words) override { act("JournalLine", {{"words", words}}); }
 
   private:
@@ -323,6 +359,12 @@
         w.maxRung = smallInt(event, "max_rung", where);
         return w;
     }
+    // A probe is worth its price only where the answer tells a load.
+    static bool tellsLoad(const Json& setup, const std::string& where) {
+        const Json* report = find(setup, "report");
+        return report && textOr(*report, "source", "none", where) != "none" &&
+               !array(*report, "fields", where).empty();
+    }
     static Load load(const Json& event, const std::string& where) {
         Load out;
         const Json* gauge = find(event, "gauge");
@@ -337,7 +379,7 @@
     }
 
     std::string name_;
-    std::vector<std::string> kinds_, rooms_;
+    std::vector<std::string> kinds_, rooms_, zones_;
     std::unique_ptr<Logic> logic_;
     Json* cmds_;  // the reply to the batch at hand
 };
@@ -357,7 +399,7 @@
         const std::string verb = text(event, "verb", where);
         where += " (" + verb + ")";
         if (verb == "Manifest") {
-            lists_[whole(event, "set_id", where)] = array(event, "records", where).dump();
+            lists_[whole(event, "set_id", where)] = array(event, "records", where);
             continue;
         }
         const std::string name = text(event, "i", where);
@@ -381,7 +423,7 @@
                 bad(where, "mode '" + mode + "' is unknown");
             auto list = lists_.find(whole(event, "set_id", where));
             if (list == lists_.end()) bad(where, "no list of that number has come");
-            front->second->list(Json::parse(list->second), mode, now, cmds, where);
+            front->second->list(list->second, mode, now, cmds, where);
             continue;
         }
         front->second->hear(verb, event, now, cmds, where);
--- a/src/wirehost/wire.hpp
+++ b/src/wirehost/wire.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -28,7 +29,7 @@
 
   private:
     std::map<std::string, std::unique_ptr<Front>> fronts_;
-    std::map<std::int64_t, std::string> lists_;  // by number, undecoded: kinds are named by each front
+    std::map<std::int64_t, nlohmann::json> lists_;  // by number: kinds and zones are named by each front
 };
 
 }  // namespace valekeel::wire
