--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -59,13 +59,14 @@
 constexpr double kUplinkShort = 0.4;  // ... more by the part of own subscriptions that get short delivery ...
 constexpr double kUplinkMost = 0.92;  // ... and at most
 constexpr double kShortMoves = 0.15;  // part that a look moves that part
-constexpr Micros kFullTold = 3 * kSecond;  // a short note says so long that an uplink is full
-constexpr Micros kQuietUntold = 15 * kSecond;
-constexpr double kEmptier = 0.3;  // how a link counts among those that get the same rung
+constexpr Micros kFullTold = 3 * kSecond;      // a short note says so long that an uplink is full
+constexpr Micros kQuietUntold = 15 * kSecond;  // so long without a short note stands in for a figure
+constexpr double kEmptier = 0.3;               // how a link counts among those that get the same rung
 
 // ---- live streams that viewers share ----
 constexpr double kGather = 0.15;  // part of a live title's holders that all fronts bring its viewers to ...
 constexpr int kShareSteps = 2;    // gathered viewers are set up at every second rung, to meet at it
+constexpr double kAlone = 0.2;    // how often one finds nobody at its rung where its title gathers
 constexpr std::size_t kGatherLeast = 2;  // ... and so many at least
 
 // ---- health: a sequential test, H1 "half of its joins fail" against H0 "two in a hundred do" ----
@@ -415,12 +416,12 @@
     bool shares(const Sub& sub) const { return roomOf(sub).live && ladder_.joinPart < 1; }
 
     // What a subscription adds to a link: a further viewer of a shared live stream only a part of its rate.
-    // Of what plays there through other fronts nothing is told; where all fronts gather, it is taken to play.
+    // Nothing is told of what plays there through others; where all gather, one mostly finds company.
     double addsKb(const Sub& sub, SfuId at, int rung, bool gathered) const {
         if (!shares(sub)) return kbOf(sub, rung);
-        return (gathered || streams_.contains({at, sub.wish.room, sub.wish.title, rung}) ? ladder_.joinPart
-                                                                                         : 1) *
-               kbOf(sub, rung);
+        if (streams_.contains({at, sub.wish.room, sub.wish.title, rung}))
+            return ladder_.joinPart * kbOf(sub, rung);
+        return (gathered ? ladder_.joinPart + kAlone * (1 - ladder_.joinPart) : 1) * kbOf(sub, rung);
     }
     void count(const Sub& sub, int sign) {
         if (!shares(sub)) return;
@@ -1003,7 +1004,10 @@
     }
 
     // What a step down frees, and what one up adds.
-    double lessBy(const Sub& sub) const { return sub.bookedKb - addsKb(sub, sub.at, sub.rung - 1, false); }
+    double lessBy(const Sub& sub) const {
+        const double frees = sub.gathered ? ladder_.joinPart * kbOf(sub, sub.rung) : sub.bookedKb;
+        return frees - addsKb(sub, sub.at, sub.rung - 1, false);
+    }
     double moreBy(const Sub& sub) const {
         return std::max(1.0, addsKb(sub, sub.at, sub.rung + 1, false) - sub.bookedKb);
     }
