Where as many servers of a rack are well as short, the link is blamed, not the uplink

Cause: where no figures come, a short note is blamed on the uplink unless most servers that this front plays on behind it are well. A tie now blames the link.

A test that fails with the line as it was.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -556,7 +556,7 @@
         for (const auto& [id, one] : sfus_)
             if (one.standing != Standing::Off && rackOf(one) == rack && one.ownKb > 0)
                 ++(now - one.shortAt < 2 * kSecond ? alsoShort : well);
-        if (well > alsoShort) return false;
+        if (well > alsoShort || (untold() && well == alsoShort)) return false;
         up.shortAt = now;
         // The shortness is of a while ago, and so must be what was asked: drops since then have made room.
         double then = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "rig.hpp"
@@ -351,6 +352,36 @@
     EXPECT_LE(again, 2);
 }
 
+// One short server beside one that is well, with no figure of either: the link is the likelier cause, and
+// what plays on the other must not pay for a step down.
+TEST(Untold, OneShortServerDoesNotBringDownItsNeighbourInTheRack) {
+    int there = 0, neighbour = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        Rig rig(Site{.sfus = 4, .fronts = 50, .every = 0, .seed = seed});
+        std::map<SfuId, unsigned> at;
+        for (unsigned id = 1; id < 40 && at.size() < 4; ++id) {
+            rig.subscribe(id, 3 * kSecond, 1);
+            rig.run(kSecond / 20);
+            rig.play(id);
+            if (!at.emplace(rig.last(id).at, id).second) rig.end(id, JoinEnd::Played, true);
+        }
+        ASSERT_EQ(at.size(), 4u);
+        for (const auto& [sfu, id] : at) {
+            rig.logic->rungInForce(rig.now, SubId{id}, 2);
+            rig.rungs[SubId{id}] = 2;
+        }
+        rig.run(2 * kSecond);
+        for (int second = 0; second < 3; ++second) {
+            rig.logic->shareDelivered(rig.now, SubId{at[SfuId{102}]}, SfuId{102}, .7);
+            rig.run(kSecond);
+        }
+        there += rig.rungs[SubId{at[SfuId{102}]}] < 2;
+        neighbour += rig.rungs[SubId{at[SfuId{100}]}] < 2;
+    }
+    EXPECT_GT(there, 10);
+    EXPECT_EQ(neighbour, 0);
+}
+
 // Given up on is answered at once: no request is held so that its viewer can't ask again.
 TEST(Untold, WhatNobodyCanServeIsAnsweredLongBeforeItsClientTimeout) {
     Rig rig(Site{.sfus = 2, .every = 0});
