Whole files are written beside and renamed at one place

The list that is kept and what is learnt were written by the same eight lines at two places; both go through settings::keepText now.

--- a/src/learnt/learnt.cpp
+++ b/src/learnt/learnt.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
 #include <set>
 
 #include "settings/reading.hpp"
@@ -63,14 +61,7 @@
 }
 
 void keep(const std::string& path, const Kept& kept) {
-    const std::string beside = path + ".new";
-    {
-        std::ofstream out(beside, std::ios::binary | std::ios::trunc);
-        out << writeKept(kept);
-        out.flush();
-        if (!out) throw std::runtime_error(beside + ": cannot be written");
-    }
-    std::filesystem::rename(beside, path);
+    settings::keepText(path, writeKept(kept));
 }
 
 }  // namespace valekeel::learnt
--- a/src/list/follow.cpp
+++ b/src/list/follow.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "settings/kdl.hpp"
+#include "settings/reading.hpp"
 
 namespace valekeel::list {
 namespace {
@@ -195,14 +196,7 @@
 }
 
 void keepList(const std::string& path, const BoxList& list, const Names& names) {
-    const std::string beside = path + ".new";
-    {
-        std::ofstream out(beside, std::ios::binary | std::ios::trunc);
-        out << writeList(list, names);
-        out.flush();
-        if (!out) throw std::runtime_error(beside + ": cannot be written");
-    }
-    std::filesystem::rename(beside, path);
+    settings::keepText(path, writeList(list, names));
 }
 
 }  // namespace valekeel::list
--- a/src/settings/reading.cpp
+++ b/src/settings/reading.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -78,6 +79,17 @@
     return out;
 }
 
+void keepText(const std::string& path, const std::string& text) {
+    const std::string beside = path + ".new";
+    {
+        std::ofstream out(beside, std::ios::binary | std::ios::trunc);
+        out << text;
+        out.flush();
+        if (!out) throw std::runtime_error(beside + ": cannot be written");
+    }
+    std::filesystem::rename(beside, path);
+}
+
 std::string textOfFile(const std::string& path) {
     std::ifstream in(path, std::ios::binary);
     if (!in) throw std::runtime_error(path + ": cannot be read");
--- a/src/settings/reading.hpp
+++ b/src/settings/reading.hpp
@@ -19,6 +19,8 @@
 
 // All that a file holds. Throws std::runtime_error, naming it.
 std::string textOfFile(const std::string& path);
+// Written beside, then renamed: a reader finds the old one or the new one, whole. Throws std::runtime_error.
+void keepText(const std::string& path, const std::string& text);
 
 // A whole file, kept for its lines in errors.
 class Document {
