One look-up of a name among the settings' own; no sum that is thrown away; dead id gone

Read through once more. The zone of a front and the kind and zone of a list's line were looked up by two pieces of code, and three places wrote the nearest name by hand: Cursor::placeOf and orNearest serve all. Where nothing is told of load, uplinksAsked summed all links for each request and dropped the sum. Keeping what is learnt compared each box with each, every two seconds on the front's loop; one map serves it and recall. TenantId was read by nothing; a comment in gathering() named a check that is gone.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 
 #include "admission/gate.hpp"
@@ -200,21 +201,12 @@
         front.wrong("a front's name is of letters, digits, '-' and '_', 64 at most");
     t.fronts = static_cast<int>(front.whole("fronts", 1, 100'000, 1));
     t.stopWithin = front.time("stop-within", 0, kHour, t.stopWithin);
-    const std::string zone = front.text("zone", "");
-    front.finish();
     t.ladder = settings::readLadder(top);
     t.rooms = settings::readRoomTypes(top, t.ladder);
     t.machines = settings::readMachines(top);
-    if (!zone.empty()) {
-        const auto& zones = t.machines.zones;
-        const auto place = std::find(zones.begin(), zones.end(), zone);
-        if (place == zones.end()) {
-            const std::string near = settings::nearest(zone, {zones.begin(), zones.end()});
-            front.wrongOf("zone", "a zone '" + zone + "' is not among those of 'fleet'" +
-                                      (near.empty() ? "" : "; did you mean '" + near + "'?"));
-        }
-        t.machines.fleet.zone = ZoneId{static_cast<std::uint32_t>(place - zones.begin())};
-    }
+    t.machines.fleet.zone =
+        ZoneId{front.placeOf("zone", t.machines.zones, "", "a zone", "among those of 'fleet'")};
+    front.finish();
     t.cold = settings::readColdTerms(top);
     t.budget = settings::readJoinBudget(top);
     t.tidings = settings::readTidings(top);
@@ -447,14 +439,18 @@
             line(record::Level::Warning, "learnt-not-taken", {{"why", e.what()}});
         }
     }
+    std::map<SfuId, Micros> launchedOf() const {  // of all boxes listed, on the wall clock
+        std::map<SfuId, Micros> out;
+        for (const list::BoxLine& box : held.boxes) out.emplace(box.sfu.id, box.sfu.launched);
+        return out;
+    }
     // Only of boxes that the list has now, and whose process is still the same.
     void recall() {
         if (earlier.boxes.empty()) return;
+        const auto launched = launchedOf();
         std::vector<Learnt> same;
         for (const learnt::BoxLearnt& b : earlier.boxes)
-            if (std::any_of(held.boxes.begin(), held.boxes.end(), [&](const list::BoxLine& now) {
-                    return now.sfu.id == b.what.id && now.sfu.launched == b.launched;
-                }))
+            if (const auto now = launched.find(b.what.id); now != launched.end() && now->second == b.launched)
                 same.push_back(b.what);
         line(record::Level::Info, "learnt-taken",
              {{"boxes", same.size()}, {"passed_over", earlier.boxes.size() - same.size()}});
@@ -464,9 +460,10 @@
     void keepLearnt() {
         if (!earlier.boxes.empty()) return;  // no list has come yet: what was kept is all that is known
         learnt::Kept kept{net.wallNow(), {}};
+        const auto launched = launchedOf();
         for (const Learnt& what : core->learnt())
-            for (const list::BoxLine& now : held.boxes)
-                if (now.sfu.id == what.id) kept.boxes.push_back({what, now.sfu.launched});
+            if (const auto now = launched.find(what.id); now != launched.end())
+                kept.boxes.push_back({what, now->second});
         try {
             learnt::keep(told.learntFile, kept);
         } catch (const std::exception& e) {
--- a/src/list/list.cpp
+++ b/src/list/list.cpp
@@ -49,18 +49,9 @@
         version->finish();
     }
     std::set<std::uint32_t> seen;
-    // The place of a name among those of the settings; the first if the line has none.
     const auto placeOf = [](settings::Cursor& box, const char* what, const std::vector<std::string>& known,
-                            const std::string& title) {
-        const std::string name = box.text(what, known.empty() ? "" : known.front());
-        const auto place = std::find(known.begin(), known.end(), name);
-        if (place == known.end() && !(known.empty() && name.empty())) {
-            const std::string near =
-                settings::nearest(name, std::set<std::string, std::less<>>(known.begin(), known.end()));
-            box.wrongOf(what, title + " '" + name + "' is not in the settings" +
-                                  (near.empty() ? "" : "; did you mean '" + near + "'?"));
-        }
-        return static_cast<std::uint32_t>(place - known.begin());
+                            const char* title) {  // the first if the line does not say
+        return box.placeOf(what, known, known.empty() ? "" : known.front(), title, "in the settings");
     };
     for (settings::Cursor& box : top.each("box")) {
         if (out.boxes.size() >= limits.boxes)
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -430,7 +430,7 @@
     }
 
     // Fronts share nothing, yet all rank the holders of a title alike, by a hash of title and id. Its viewers
-    // gather at the first few that are well, warm and not believed to be full.
+    // gather at the first few that are on, warm and not set aside.
     std::vector<SfuId> gathering(Micros now, const Sub& sub) {
         std::vector<std::pair<std::uint64_t, SfuId>> order;
         if (!shares(sub)) return {};
@@ -495,7 +495,8 @@
     std::vector<double> uplinksAsked(Micros now) const {
         std::vector<double> use(uplinks_.size(), 0);
         for (const auto& [id, s] : sfus_)
-            if (s.standing != Standing::Off) use[rackOf(s)] += linkAsked(now, s) * linkKb(now, s);
+            if (!untold() && s.standing != Standing::Off)
+                use[rackOf(s)] += linkAsked(now, s) * linkKb(now, s);
         // Where no figure comes, what could be guessed of one uplink is no better than what is guessed of
         // all, and all fronts would guess alike: the rack that looked emptiest would get everyone's joins.
         const double guess = std::min(kUplinkMost, kUplinkUntold + kUplinkShort * shortPart_);
@@ -723,6 +724,9 @@
         double best = 1e18, roomiest = 1e18, askedThere = 0;
         const std::vector<double> uplinks = uplinksAsked(now);
         const std::vector<SfuId> gather = gathering(now, sub);
+        const auto gathersAt = [&](SfuId at) {
+            return std::find(gather.begin(), gather.end(), at) != gather.end();
+        };
         std::optional<SfuId> chosen, fallback;
         int chosenRung = floorOf(sub), among = 0;
         const double middle = ladder_.kb[ladder_.kb.size() / 2];
@@ -730,7 +734,7 @@
             if (!mayJoin(now, sub, sfuId, s, now) || setAside(now, s) || now < s.fullUntil) continue;
             if (roomOf(sub).paid && s.evidence >= kVerdict) continue;  // no trial with what can't be repeated
             ++among;
-            const bool here = std::find(gather.begin(), gather.end(), sfuId) != gather.end();
+            const bool here = gathersAt(sfuId);
             const double link = linkAsked(now, s), uplink = uplinks[rackOf(s)];
             // Of most media servers a front knows nothing, and all fronts would take the first of those
             // alike.
@@ -775,7 +779,7 @@
         if (!chosen && fallback && askedThere <= kOverfull) chosen = fallback;
         if (chosen) {
             host_.chose(id, *chosen, fits ? &best : nullptr, among);
-            sub.gathered = std::find(gather.begin(), gather.end(), *chosen) != gather.end();
+            sub.gathered = gathersAt(*chosen);
             sendJoin(now, id, sub, *chosen, chosenRung);
             return;
         }
--- a/src/model/ids.hpp
+++ b/src/model/ids.hpp
@@ -19,7 +19,6 @@
 using KindId = Id<struct KindTag, std::uint32_t>;      // place in the list of machine kinds
 using TitleId = Id<struct TitleTag, std::string>;      // what is watched
 using ZoneId = Id<struct ZoneTag, std::uint32_t>;      // place in the list of zones
-using TenantId = Id<struct TenantTag, std::uint32_t>;  // place in the list of tenants
 using Cell = Id<struct CellTag, std::uint32_t>;
 
 using Micros = std::int64_t;
--- a/src/rehearse/day.cpp
+++ b/src/rehearse/day.cpp
@@ -310,11 +310,8 @@
     for (Cursor& node : top.each("trouble")) {
         DayTrouble t;
         t.kind = node.argument("its kind");
-        if (!names.count(t.kind)) {
-            const std::string near = settings::nearest(t.kind, names);
-            node.wrong("'" + t.kind + "' is no kind of trouble" +
-                       (near.empty() ? "" : "; did you mean '" + near + "'?"));
-        }
+        if (!names.count(t.kind))
+            node.wrong("'" + t.kind + "' is no kind of trouble" + settings::orNearest(t.kind, names));
         t.at = node.time("at", 0, day.length);
         t.lasts = node.time("for", 0, kDay, 0);
         t.size = node.number("size", 0, 1e6, 1);
--- a/src/settings/reading.cpp
+++ b/src/settings/reading.cpp
@@ -56,6 +56,11 @@
     return best;
 }
 
+std::string orNearest(std::string_view to, const std::set<std::string, std::less<>>& among) {
+    const std::string near = nearest(to, among);
+    return near.empty() ? "" : "; did you mean '" + near + "'?";
+}
+
 std::optional<Micros> timeOf(std::string_view text) {
     double value = 0;
     const auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -300,6 +305,17 @@
     document_->wrong(v->at, std::string(name) + " is expected to be one of " + all);
 }
 
+std::uint32_t Cursor::placeOf(std::string_view property, const std::vector<std::string>& among,
+                              const std::string& otherwise, const std::string& title,
+                              const std::string& where) {
+    const std::string name = text(property, otherwise);
+    const auto place = std::find(among.begin(), among.end(), name);
+    if (place != among.end()) return static_cast<std::uint32_t>(place - among.begin());
+    if (name.empty() && otherwise.empty()) return 0;
+    wrongOf(property,
+            title + " '" + name + "' is not " + where + orNearest(name, {among.begin(), among.end()}));
+}
+
 std::string Cursor::argument(std::string_view what) {
     askedArguments_ = true;
     if (!node_ || node_->arguments.size() != 1)
@@ -348,19 +364,15 @@
 }
 
 void Cursor::finish() {
-    const auto hint = [](std::string_view name, const auto& known) {
-        const std::string near = nearest(name, known);
-        return near.empty() ? std::string() : "; did you mean '" + near + "'?";
-    };
     for (const Node& child : children())
         if (!askedNodes_.count(child.name))
             document_->wrong(child.at, "a node '" + child.name + "' is not known in " + name() +
-                                           hint(child.name, askedNodes_));
+                                           orNearest(child.name, askedNodes_));
     if (!node_) return;
     for (const auto& [key, value] : node_->properties)
         if (!askedProperties_.count(key))
             document_->wrong(value.at,
-                             "'" + name() + "' knows no '" + key + "='" + hint(key, askedProperties_));
+                             "'" + name() + "' knows no '" + key + "='" + orNearest(key, askedProperties_));
     if (!askedArguments_ && !node_->arguments.empty())
         document_->wrong(node_->arguments[0].at, "'" + name() + "' takes no value here, only name=value");
 }
--- a/src/settings/reading.hpp
+++ b/src/settings/reading.hpp
@@ -74,6 +74,10 @@
     bool has(std::string_view property) const;
     std::string choice(std::string_view name, const std::vector<std::string>& among,
                        const std::string& otherwise);
+    // The place of a name among others that the settings give. `title` and `where` are for the complaint: "a
+    // zone", "in the settings". The name may be left out; with no `otherwise` the place is then the first.
+    std::uint32_t placeOf(std::string_view property, const std::vector<std::string>& among,
+                          const std::string& otherwise, const std::string& title, const std::string& where);
 
     // Arguments of this node.
     std::string argument(std::string_view what);
@@ -100,6 +104,8 @@
 
 // The nearest of some names, if it is near enough to be meant.
 std::string nearest(std::string_view to, const std::set<std::string, std::less<>>& among);
+// The same for the end of a complaint: "; did you mean 'NAME'?", or nothing.
+std::string orNearest(std::string_view to, const std::set<std::string, std::less<>>& among);
 
 // "1500us", "20ms", "2s", "1.5min", "1h". Nothing if it is none.
 std::optional<Micros> timeOf(std::string_view text);
