--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -310,12 +310,9 @@
         std::vector<Learnt> out;
         for (const auto& [id, s] : sfus_) {
             if (s.standing == Standing::Off || (!s.link.told && s.evidence == 0)) continue;
-            Learnt one{id, s.evidence, std::nullopt, 0};
-            if (s.link.told) {
-                one.linkUse = s.link.use;
-                one.age = now - s.link.at;
-            }
-            out.push_back(one);
+            const Pipe& link = s.link;
+            out.push_back({id, s.evidence, link.told ? std::optional(link.use) : std::nullopt,
+                           link.told ? now - link.at : 0});
         }
         return out;
     }
@@ -444,10 +441,8 @@
             mixed = (mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9u;
             order.emplace_back(mixed ^ (mixed >> 32), id);
         }
-        const std::size_t few =
-            std::min(order.size(),
-                     std::max(kGatherLeast,
-                              static_cast<std::size_t>(kGather * std::min(sub.wish.holders, fleet_.cells))));
+        const auto part = static_cast<std::size_t>(kGather * std::min(sub.wish.holders, fleet_.cells));
+        const std::size_t few = std::min(order.size(), std::max(kGatherLeast, part));
         std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(few), order.end());
         std::vector<SfuId> out;
         for (std::size_t i = 0; i < few; ++i) out.push_back(order[i].second);
@@ -742,10 +737,9 @@
                                  std::uniform_real_distribution<double>(0, kNearTie)(chance_);
             // Link and uplink lie one behind the other: their fetch times add up. The larger alone would
             // leave the media servers of a crowded rack alike, however empty some of their links are.
+            const double planned = untold() ? std::max(link, fleetUse_) : link;
             const double slowness =
-                (1 / std::max(kLeastFree, 1 - (untold() ? std::max(link, fleetUse_) : link)) +
-                 1 / std::max(kLeastFree, 1 - uplink)) /
-                    2 +
+                (1 / std::max(kLeastFree, 1 - planned) + 1 / std::max(kLeastFree, 1 - uplink)) / 2 +
                 (untold() ? kEmptier * link : 0);
             const double crowd = std::max(link, uplink) + kLinkTie * link + doubt;
             if (crowd < roomiest) {
