--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -15,6 +15,7 @@
 #include "front/front.hpp"
 #include "net/epoll.hpp"
 #include "net/process.hpp"
+#include "node/node.hpp"
 #include "rehearse/baselines.hpp"
 #include "rehearse/drill.hpp"
 #include "standins/list.hpp"
@@ -58,6 +59,28 @@
     return kDone;
 }
 
+// A front node on the platform: told by its environment, and by nothing else.
+int node(const std::string& level) {
+    const char* path = std::getenv("BALANCER_CONFIG");
+    if (!path) throw std::invalid_argument("BALANCER_CONFIG names no file");
+    const std::string text = settings::textOfFile(path);
+    net::EpollNet real(node::seedOf(node::readConfiguration(path, text)));
+    record::Log log("-", record::levelOf(level), 5);
+    node::Node front(real, path, text, log);
+    real.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int which) {
+        if (which != SIGHUP) return front.stop([&] { real.stop(); });
+        try {
+            front.reread(settings::textOfFile(path));
+        } catch (const std::exception& e) {  // half way through being replaced: the one held applies
+            std::fprintf(stderr, "valekeel: %s\n", e.what());
+        }
+    });
+    std::fprintf(stderr, "valekeel: front node on %s\n", net::text(front.at()).c_str());
+    real.run();
+    log.flush();
+    return kDone;
+}
+
 int check(const std::string& file, bool print) {
     const auto document = settings::Document::fromFile(file);
     front::Front::check(document);
@@ -337,7 +360,7 @@
     std::string file, portFile, decisions, listFile = "boxes.kdl", ledger, frontText = "127.0.0.1:8080",
                                            title, room;
     std::string folder, listen = "127.0.0.1:9000", id, watch = "10s", lasts = "0s";
-    std::string json, store, out, against;
+    std::string json, store, out, against, logLevel = "info";
     std::vector<std::string> files, sets;
     std::uint64_t seed = 0;
     bool real = false;
@@ -380,6 +403,12 @@
     l->footer("Example: valekeel list boxes.kdl --listen 127.0.0.1:9000");
     l->callback([&] { chosen = [&] { return serveList(file, listen); }; });
 
+    auto* n = app.add_subcommand("node", "run as a front node of the platform, told by BALANCER_CONFIG");
+    n->add_option("--log", logLevel, "debug, info, warning or error")
+        ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+    n->footer("Example: BALANCER_CONFIG=config.json valekeel node");
+    n->callback([&] { chosen = [&] { return node(logLevel); }; });
+
     auto* p = app.add_subcommand("play", "play a talk with scripted players");
     p->add_option("title", title, "of the talk")->required();
     p->add_option("--front", frontText, "address and port");
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -63,6 +63,22 @@
     return id;
 }
 
+std::optional<SubId> Core::handOver(Face& face, const Wish& wish, SfuId at) {
+    if (subs_.size() >= limits_.subs) return std::nullopt;
+    const SubId id{nextSub_++};
+    Sub& sub = subs_[id];
+    sub.face = &face;
+    sub.wish = wish;
+    sub.state = State::Answered;
+    sub.begun = sub.plays = true;
+    sub.joins = 1;
+    sub.at = at;
+    sub.rung = rooms_[wish.room.v].floor;
+    sub.askedAt = sub.playsSince = net_.now();
+    tell([&] { decides_->handedOver(net_.now(), id, wish, at); });
+    return id;
+}
+
 void Core::begin(SubId id) {
     const auto it = subs_.find(id);
     if (it == subs_.end() || it->second.begun) return;
@@ -107,19 +123,28 @@
     tell([&] { decides_->rungInForce(net_.now(), id, rung); });
 }
 
-void Core::lost(SubId id, JoinEnd end) {
+void Core::lost(SubId id, JoinEnd end, const Load& load) {
     const auto it = subs_.find(id);
     if (it == subs_.end() || !it->second.plays) return;
     Sub& sub = it->second;
     const Micros now = net_.now();
-    ++counts_.broke;
+    if (end != JoinEnd::Played) ++counts_.broke;
     sub.plays = false;
     Face* face = sub.left ? nullptr : sub.face;
     tell([&] {
-        decides_->joinEnded(now, id, sub.joins - 1, sub.at, end, true, now - sub.playsSince, Load{});
-        if (face) after([face, id] { face->broke(id); });
+        decides_->joinEnded(now, id, sub.joins - 1, sub.at, end, true, now - sub.playsSince, load);
+        if (face) after([face, id, end] { end == JoinEnd::Played ? face->finished(id) : face->broke(id); });
     });
-    drop(id, "broke");
+    drop(id, end == JoinEnd::Played ? "finished" : "broke");
+}
+
+void Core::rungTold(SubId id, int rung) {
+    const auto it = subs_.find(id);
+    if (it != subs_.end() && it->second.plays) tell([&] { decides_->rungInForce(net_.now(), id, rung); });
+}
+
+void Core::delivered(SubId id, SfuId at, double share) {
+    tell([&] { decides_->shareDelivered(net_.now(), id, at, share); });
 }
 
 // ================= from what is sent =================
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -32,6 +32,7 @@
     virtual void terminated(SubId, Ended) = 0;
     virtual void rungSet(SubId, int rung) = 0;  // while it plays
     virtual void broke(SubId) = 0;              // it played, and its media server lost it
+    virtual void finished(SubId) {}             // it played to its end
 };
 
 // How one join ended, as the sender of it found.
@@ -97,12 +98,17 @@
     void begin(SubId);
     void left(SubId);                   // the viewer is gone; nothing more is said of it
     void rungFetched(SubId, int rung);  // the first segment of a rung was asked for
-    void lost(SubId, JoinEnd);          // its media server broke while it played
+    void lost(SubId, JoinEnd, const Load& = {});  // its media server broke, or played it to its end
+    // It plays already, and no answer is owed. Nothing if no more can be held.
+    std::optional<SubId> handOver(Face&, const Wish&, SfuId);
 
     // ---- from what is sent ----
     void joined(SubId, int joinNo, const JoinOutcome&);
     void figures(SubId, SfuId, std::optional<double> linkUse, std::optional<double> uplinkUse);
     Delivery& delivery() { return delivery_; }
+    // Where media servers tell of these by themselves.
+    void delivered(SubId, SfuId, double share);
+    void rungTold(SubId, int rung);
 
     // ---- from the list ----
     void listed(std::span<const ListedSfu>, bool stale);
--- a/src/core/decides.hpp
+++ b/src/core/decides.hpp
@@ -18,6 +18,7 @@
     virtual void listChanged(Micros now, std::span<const ListedSfu>) = 0;
     virtual void listFailed(Micros now) = 0;
     virtual void subscribe(Micros now, SubId, const Wish&) = 0;
+    virtual void handedOver(Micros, SubId, const Wish&, SfuId) {}
     virtual void playing(Micros now, SubId, int joinNo, SfuId, Micros took) = 0;
     virtual void joinEnded(Micros now, SubId, int joinNo, SfuId, JoinEnd, bool over, Micros took,
                            const Load&) = 0;
@@ -42,6 +43,9 @@
     void listChanged(Micros now, std::span<const ListedSfu> some) override { logic_.listChanged(now, some); }
     void listFailed(Micros now) override { logic_.listFailed(now); }
     void subscribe(Micros now, SubId id, const Wish& wish) override { logic_.subscribe(now, id, wish); }
+    void handedOver(Micros now, SubId id, const Wish& wish, SfuId at) override {
+        logic_.handedOver(now, id, wish, at);
+    }
     void playing(Micros now, SubId id, int joinNo, SfuId at, Micros took) override {
         logic_.playing(now, id, joinNo, at, took);
     }
--- /dev/null
+++ b/src/node/changelog.cpp
@@ -0,0 +1,199 @@
+#include "node/changelog.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace valekeel::node {
+namespace {
+
+constexpr std::size_t kHead = 9;  // number and kind
+constexpr std::size_t kRecord = 27;
+
+std::uint64_t bigEndian(const char* from, std::size_t bytes) {
+    std::uint64_t out = 0;
+    for (std::size_t i = 0; i < bytes; ++i) out = out << 8 | static_cast<unsigned char>(from[i]);
+    return out;
+}
+
+std::uint32_t idOf(const std::string& text, const std::string& where) {
+    std::uint32_t id = 0;
+    if (text.size() == 10 && text.compare(0, 2, "s-") == 0) {
+        const auto [end, wrong] = std::from_chars(text.data() + 2, text.data() + 10, id, 16);
+        if (wrong == std::errc{} && end == text.data() + 10) return id;
+    }
+    setup::bad(where, "'instanceId' is not 's-' and 8 hex digits");
+}
+
+Standing standingOf(const std::string& text, const std::string& where) {
+    if (text == "active") return Standing::On;
+    if (text == "leaving") return Standing::Fading;
+    if (text == "left") return Standing::Off;
+    setup::bad(where, "lifecycle '" + text + "' is none of active, leaving, left");
+}
+
+}  // namespace
+
+std::vector<ChangeEvent> knownEvents(const setup::Json& known, const list::Names& names) {
+    std::vector<ChangeEvent> out;
+    std::size_t at = 0;
+    for (const setup::Json& result : setup::array(known, "results", "known")) {
+        const std::string where = "known.results[" + std::to_string(at++) + "]";
+        ChangeEvent event;
+        event.number = static_cast<std::uint64_t>(setup::whole(result, "seq", where));
+        const setup::Json& fleet = setup::part(result, "fleet", where);
+        event.whole = setup::flag(fleet, "reset", where) || out.empty();
+        for (const setup::Json& one : setup::array(fleet, "instances", where)) {
+            list::BoxLine line;
+            line.sfu.id = SfuId{idOf(setup::text(one, "instanceId", where), where)};
+            line.sfu.standing = standingOf(setup::text(one, "lifecycle", where), where);
+            if (const auto to = net::endpointOf(setup::textOr(one, "hostPort", "", where)))
+                line.at = *to;
+            else if (line.sfu.standing != Standing::Off)
+                setup::bad(where, "'hostPort' is no address and port");
+            if (setup::find(one, "zone"))
+                line.sfu.zone = ZoneId{setup::placeOf(names.zones, setup::text(one, "zone", where), where)};
+            if (setup::find(one, "machineType"))
+                line.sfu.kind =
+                    KindId{setup::placeOf(names.kinds, setup::text(one, "machineType", where), where)};
+            line.sfu.cell = Cell{setup::find(one, "cell") ? setup::id32(one, "cell", where) : 0};
+            line.sfu.size = setup::numberOr(one, "weight", 1, where);
+            line.sfu.launched = static_cast<Micros>(setup::numberOr(one, "startedAtMs", 0, where)) * 1000;
+            event.boxes.push_back(line);
+        }
+        out.push_back(std::move(event));
+    }
+    return out;
+}
+
+bool FrameReader::feed(std::string_view bytes,
+                       const std::function<void(const ChangeEvent&, bool empty)>& heard) {
+    held_ += bytes;
+    std::size_t from = 0;
+    const auto left = [&] { return held_.size() - from; };
+    while (left() >= 4) {
+        const std::uint64_t length = bigEndian(held_.data() + from, 4);
+        if (length < kHead || length > kHead + most_ * kRecord || (length - kHead) % kRecord != 0) return false;
+        if (left() < 4 + length) break;
+        const char* at = held_.data() + from + 4;
+        ChangeEvent event;
+        event.number = bigEndian(at, 8);
+        const int kind = at[8];
+        if (kind < 0 || kind > 2 || (kind == 0 && length != kHead)) return false;
+        event.whole = kind == 1;
+        for (std::size_t record = kHead; record < length; record += kRecord) {
+            const char* r = at + record;
+            list::BoxLine line;
+            const auto state = bigEndian(r + 10, 1), zone = bigEndian(r + 11, 1), kindOf = bigEndian(r + 12, 1);
+            if (state > 2 || zone >= std::max<std::size_t>(1, zones_) || kindOf >= kinds_) return false;
+            line.sfu.id = SfuId{static_cast<std::uint32_t>(bigEndian(r, 4))};
+            line.at.ip = net::IpAddress(
+                boost::asio::ip::address_v4(static_cast<std::uint32_t>(bigEndian(r + 4, 4))));
+            line.at.port = static_cast<std::uint16_t>(bigEndian(r + 8, 2));
+            line.sfu.standing = state == 0 ? Standing::On : state == 1 ? Standing::Fading : Standing::Off;
+            line.sfu.zone = ZoneId{static_cast<std::uint32_t>(zone)};
+            line.sfu.kind = KindId{static_cast<std::uint32_t>(kindOf)};
+            line.sfu.cell = Cell{static_cast<std::uint32_t>(bigEndian(r + 13, 2))};
+            line.sfu.size = static_cast<double>(bigEndian(r + 15, 4)) / 1000;
+            line.sfu.launched = static_cast<Micros>(bigEndian(r + 19, 8)) * 1000;
+            event.boxes.push_back(line);
+        }
+        heard(event, kind == 0);
+        from += 4 + length;
+    }
+    held_.erase(0, from);
+    return true;
+}
+
+ChangeLog::ChangeLog(net::Net& net, const net::Endpoint& at, std::uint64_t last, FrameReader reader,
+                     const ChangeLogTimes& times, ChangeLogUser& user)
+    : net_(net),
+      at_(at),
+      last_(last),
+      reader_(std::move(reader)),
+      times_(times),
+      user_(user),
+      silent_(net, [this] { lost("silent"); }),
+      again_(net, [this] { open(); }),
+      more_(net, [this] { readable(); }),
+      wait_(times.again) {}
+ChangeLog::~ChangeLog() = default;
+
+void ChangeLog::open() {
+    dead_.reset();
+    reader_.reset();
+    sent_ = false;
+    stream_ = net_.connect(at_, *this);
+    silent_.after(times_.connectWithin);
+}
+
+void ChangeLog::moveTo(const net::Endpoint& to) {
+    at_ = to;
+    wait_ = times_.again;
+    silent_.cancel();
+    more_.cancel();
+    dead_ = std::move(stream_);
+    again_.after(0);
+}
+
+void ChangeLog::connected() {
+    std::array<char, 8> number;
+    for (std::size_t i = 0; i < 8; ++i) number[i] = static_cast<char>(last_ >> (56 - 8 * i) & 0xff);
+    const net::Moved put = stream_->write(std::string_view(number.data(), number.size()));
+    if (put.bytes != number.size()) return lost("can't be asked");
+    sent_ = true;
+    silent_.after(times_.silent);
+}
+
+void ChangeLog::readable() {
+    if (!stream_ || !sent_) return;
+    std::array<char, 8192> buffer;
+    for (int portion = 0; portion < 16; ++portion) {
+        const net::Moved got = stream_->read(buffer);
+        if (got.then == net::Moved::Then::Again) return;
+        if (got.then != net::Moved::Then::More) return lost("it broke off");
+        silent_.after(times_.silent);
+        gap_ = false;
+        const bool readable =
+            reader_.feed(std::string_view(buffer.data(), got.bytes),
+                         [this](const ChangeEvent& event, bool empty) { frame(event, empty); });
+        if (!readable) return lost("what it says is no frame");
+        if (gap_) return lost("an event is missing");
+    }
+    more_.soon();
+}
+
+void ChangeLog::frame(const ChangeEvent& event, bool empty) {
+    if (gap_) return;
+    wait_ = times_.again;
+    if (empty) {
+        if (event.number > last_ && gapFrom_ != last_ + 1) {
+            gapFrom_ = last_ + 1;
+            gap_ = true;
+            return;
+        }
+        well_ = true;
+        return user_.current();
+    }
+    if (event.number <= last_) return;  // told twice
+    // Asked for once more from where it is missing; if it is missing there too, it does not exist.
+    if (!event.whole && event.number != last_ + 1 && gapFrom_ != last_ + 1) {
+        gapFrom_ = last_ + 1;
+        gap_ = true;
+        return;
+    }
+    well_ = true;
+    last_ = event.number;
+    user_.changed(event);
+}
+
+void ChangeLog::lost(const std::string& why) {
+    silent_.cancel();
+    more_.cancel();
+    dead_ = std::move(stream_);  // this very call may come from within it
+    if (std::exchange(well_, false)) user_.unreachable(why);
+    again_.after(wait_);
+    wait_ = std::min(2 * wait_, times_.againAtMost);
+}
+
+}  // namespace valekeel::node
--- /dev/null
+++ b/src/node/changelog.hpp
@@ -0,0 +1,85 @@
+// The platform's change log: numbered events of the list of media servers, as frames over TCP. FrameReader
+// turns bytes into events and knows no clock; ChangeLog keeps a connection to it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "list/list.hpp"
+#include "net/net.hpp"
+#include "setup/values.hpp"
+
+namespace valekeel::node {
+
+struct ChangeEvent {
+    std::uint64_t number = 0;
+    bool whole = false;                // the whole list, else changes
+    std::vector<list::BoxLine> boxes;  // `launched` in Unix microseconds
+};
+
+// What `known` of the configuration holds. Throws setup::Bad.
+std::vector<ChangeEvent> knownEvents(const setup::Json& known, const list::Names&);
+
+class FrameReader {
+  public:
+    FrameReader(std::size_t kinds, std::size_t zones, std::size_t mostRecords)
+        : kinds_(kinds), zones_(zones), most_(mostRecords) {}
+    // Calls back for each whole frame; an empty one has no boxes and says the last number. False where the
+    // bytes are no frames: nothing more can be read of them.
+    bool feed(std::string_view bytes, const std::function<void(const ChangeEvent&, bool empty)>&);
+    void reset() { held_.clear(); }
+
+  private:
+    std::size_t kinds_, zones_, most_;
+    std::string held_;
+};
+
+struct ChangeLogTimes {
+    Micros connectWithin = 500'000;
+    Micros silent = 1'500'000;  // an empty frame is due each second
+    Micros again = 100'000;     // after a break, and doubled up to
+    Micros againAtMost = 400'000;
+};
+
+class ChangeLogUser {
+  public:
+    virtual ~ChangeLogUser() = default;
+    virtual void changed(const ChangeEvent&) = 0;
+    virtual void current() = 0;                         // all that there was has been told
+    virtual void unreachable(const std::string& why) = 0;  // at the first failure after it was well
+};
+
+class ChangeLog final : private net::StreamUser {
+  public:
+    ChangeLog(net::Net&, const net::Endpoint&, std::uint64_t last, FrameReader, const ChangeLogTimes&,
+              ChangeLogUser&);
+    ~ChangeLog() override;
+    void start() { open(); }
+    void moveTo(const net::Endpoint&);  // from here on it is asked there
+    std::uint64_t last() const { return last_; }
+
+  private:
+    void open();
+    void lost(const std::string& why);
+    void frame(const ChangeEvent&, bool empty);
+    void connected() override;
+    void connectFailed(net::NoStream) override { lost("no connection"); }
+    void readable() override;
+    void writable() override {}
+
+    net::Net& net_;
+    net::Endpoint at_;
+    std::uint64_t last_;
+    FrameReader reader_;
+    ChangeLogTimes times_;
+    ChangeLogUser& user_;
+    std::unique_ptr<net::Stream> stream_, dead_;
+    net::Timer silent_, again_, more_;
+    Micros wait_;
+    bool well_ = false, gap_ = false, sent_ = false;
+    std::uint64_t gapFrom_ = 0;
+};
+
+}  // namespace valekeel::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,338 @@
+#include "node/node.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <set>
+
+#include "node/changelog.hpp"
+#include "node/servers.hpp"
+#include "node/viewers.hpp"
+#include "settings/reading.hpp"
+#include "setup/setup.hpp"
+
+namespace valekeel::node {
+namespace {
+
+using setup::Json;
+
+constexpr Micros kStatusEvery = 5 * kSecond;
+constexpr Micros kAnswerMargin = 30'000;       // before a client timeout
+constexpr Micros kStopComing = 700'000;        // after SIGTERM requests come for so long
+constexpr Micros kLeastPlayOn = 3 * kSecond;   // a planned restart waits so long at least
+
+net::Endpoint endpoint(const Json& object, const char* key, const std::string& where) {
+    const std::string told = setup::text(object, key, where);
+    if (const auto at = net::endpointOf(told)) return *at;
+    setup::bad(where, std::string("'") + key + "' is '" + told + "', and should be an address and a port");
+}
+
+// A part of the configuration; where it is missing, the nearest name that is there.
+const Json& partOf(const Json& all, const char* key, const std::string& file) {
+    if (all.contains(key)) return setup::part(all, key, file);
+    std::set<std::string, std::less<>> names;
+    for (const auto& [name, value] : all.items()) names.insert(name);
+    const std::string near = settings::nearest(key, names);
+    setup::bad(file, std::string("'") + key + "' is missing" +
+                         (near.empty() ? "" : "; there is a '" + near + "'"));
+}
+
+std::size_t descriptors(const Json& all, const std::string& file) {
+    const auto told = setup::whole(partOf(all, "limits", file), "sockets", file + ": limits");
+    if (told < 64) setup::bad(file + ": limits", "'sockets' is " + std::to_string(told) + ", and 64 at least");
+    return static_cast<std::size_t>(std::min<std::int64_t>(told, 100'000));
+}
+
+Micros longestTimeout(const Json& settings, const std::string& where) {
+    Micros longest = 0;
+    for (const Json& room : setup::array(settings, "request_classes", where))
+        longest = std::max(longest, setup::time(room, "deadline", where));
+    return longest;
+}
+
+ServerLimits serverLimits(const Json& settings, std::size_t descriptors, const std::string& where) {
+    const Json& allowed = setup::part(settings, "allowed", where);
+    ServerLimits out;
+    out.links = descriptors / 3;
+    out.joinsOnLink = static_cast<std::size_t>(
+        std::clamp<double>(setup::numberOr(allowed, "max_streams", 32, where), 1, 1024));
+    if (const Micros told = setup::timeOr(allowed, "connect_timeout", where); told > 0)
+        out.connectWithin = told;
+    if (const Micros told = setup::timeOr(allowed, "conn_idle", where); told > 0) {
+        out.idle = told / 2;
+        out.sureFor = told / 4;
+    }
+    // Where notes come by themselves, a silence of several of them is a sign.
+    if (const Micros every = setup::tidingsOf(settings, where).every; every > 0)
+        out.silent = std::clamp<Micros>(3 * every / 2, 1'500'000, 4'000'000);
+    return out;
+}
+
+ViewerLimits viewerLimits(const Json& settings, std::size_t descriptors, const std::string& where) {
+    ViewerLimits out;
+    out.connections = descriptors / 2;
+    out.longestWait = 10 * longestTimeout(settings, where);
+    return out;
+}
+
+Asked askedOf(const Json& settings, const std::string& where) {
+    Asked out;
+    const Ladder ladder = setup::ladderOf(settings, where);
+    for (const RoomType& room : setup::roomTypesOf(settings, ladder, where)) out.rooms.push_back(room.name);
+    out.rungs = static_cast<int>(ladder.kb.size());
+    out.cells = setup::fleetOf(settings, setup::namesOf(settings, where), where).cells;
+    return out;
+}
+
+}  // namespace
+
+Json readConfiguration(const std::string& file, const std::string& text) {
+    try {
+        Json all = Json::parse(text);
+        if (!all.is_object()) setup::bad(file, "an object is expected");
+        return all;
+    } catch (const Json::parse_error& e) {
+        const std::size_t at = std::min(e.byte > 0 ? e.byte - 1 : 0, text.size());
+        const auto line = std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n') + 1;
+        const auto before = at == 0 ? std::string::npos : text.rfind('\n', at - 1);
+        const std::size_t column = at - (before == std::string::npos ? 0 : before + 1) + 1;
+        setup::bad(file + ":" + std::to_string(line) + ":" + std::to_string(column), "no valid JSON here");
+    }
+}
+
+std::uint64_t seedOf(const Json& all) {
+    const std::string told = setup::text(all, "seed", "configuration");
+    std::uint64_t seed = 0;
+    const auto [end, wrong] = std::from_chars(told.data(), told.data() + told.size(), seed, 16);
+    if (wrong != std::errc{} || end != told.data() + told.size())
+        setup::bad("configuration", "'seed' is no hex number");
+    return seed;
+}
+
+struct Node::Parts final : core::Watcher, ChangeLogUser {
+    Parts(net::Net& net, const std::string& file, const Json& all, record::Log& log)
+        : net(net),
+          file(file),
+          log(log),
+          settings(partOf(all, "settings", file)),
+          where(file + ": settings"),
+          names(setup::namesOf(settings, where)),
+          listNames(names.kinds, names.zones),
+          longest(std::max(kLeastPlayOn, longestTimeout(settings, where))),
+          changelogAt(endpoint(all, "changelog", file)),
+          known(knownEvents(partOf(all, "known", file), listNames)),
+          viewers(net, endpoint(all, "listen", file), viewerLimits(settings, descriptors(all, file), where),
+                  askedOf(settings, where)),
+          servers(net, serverLimits(settings, descriptors(all, file), where), viewers),
+          core(net, setup::roomTypesOf(settings, setup::ladderOf(settings, where), where),
+               core::CoreLimits{20'000, kAnswerMargin, 0}, kSecond, servers, *this,
+               [&](Host& host, Micros now) {
+                   return setup::made<core::ModuleDecides>(host, now, seedOf(all), settings, where);
+               }),
+          log_(net, changelogAt, known.empty() ? 0 : known.back().number,
+               FrameReader(names.kinds.size(), names.zones.size(), 4096), ChangeLogTimes{}, *this),
+          status(net, [this] { tellStatus(); }),
+          stopping(net, [this] { mayStop(); }) {
+        viewers.connect(core, servers);
+        servers.connect(core);
+        for (const ChangeEvent& event : known) take(event, true);
+        known.clear();
+        viewers.listen();
+        log_.start();
+        status.after(kStatusEvery);
+    }
+
+    // ---- the list ----
+    Micros onOurClock(Micros unix) const {
+        return unix <= 0 ? 0 : std::max<Micros>(1, net.now() - (net.wallNow() - unix));
+    }
+    void take(const ChangeEvent& event, bool stale) {
+        std::vector<ListedSfu> entries;
+        std::set<SfuId> named;
+        for (const list::BoxLine& line : event.boxes) {
+            ListedSfu entry = line.sfu;
+            entry.launched = onOurClock(line.sfu.launched);
+            entries.push_back(entry);
+            named.insert(entry.id);
+            if (entry.standing != Standing::Off) servers.at(entry.id, line.at);
+            auto it = listed.find(entry.id);
+            const bool anew = it != listed.end() && entry.launched > it->second.launched;
+            if (anew) servers.startedAnew(entry.id, entry.launched);
+            if (entry.standing == Standing::Off)
+                listed.erase(entry.id);
+            else
+                listed[entry.id] = entry;
+        }
+        std::vector<SfuId> off;
+        if (event.whole) {
+            for (const auto& [id, entry] : listed)
+                if (!named.count(id)) off.push_back(id);
+            for (const SfuId id : off) listed.erase(id);
+            core.listed(entries, stale);
+        } else {
+            core.listChanged(entries);
+        }
+        for (const ListedSfu& entry : entries)
+            if (entry.standing == Standing::Off) off.push_back(entry.id);
+        for (const SfuId id : off) servers.off(id);
+    }
+    void changed(const ChangeEvent& event) override {
+        nlohmann::ordered_json told{{"number", event.number}, {"whole", event.whole}};
+        for (const list::BoxLine& line : event.boxes)
+            told["boxes"].push_back({line.sfu.id.v, static_cast<int>(line.sfu.standing)});
+        say(record::Level::Info, "list", std::move(told));
+        take(event, false);
+    }
+    // What was known at the start is as new as the change log, once that has nothing more to tell.
+    void current() override {
+        if (isCurrent) return;
+        isCurrent = true;
+        std::vector<ListedSfu> all;
+        for (const auto& [id, entry] : listed) all.push_back(entry);
+        core.listed(all, false);
+        say(record::Level::Info, "list current", {{"boxes", all.size()}});
+    }
+    void unreachable(const std::string& why) override {
+        say(record::Level::Warning, "change log lost", {{"why", why}, {"last", log_.last()}});
+        core.listFailed();
+    }
+
+    // ---- core::Watcher ----
+    void over(SubId id, std::string_view) override {
+        servers.forget(id);
+        viewers.forget(id);
+    }
+    void guarded(SubId id) override { say(record::Level::Error, "answered by the guard", {{"sub", id.v}}); }
+    void chose(SubId, SfuId, const double* score, int among, std::uint64_t) override {
+        fits += score != nullptr;
+        chosen += 1;
+        holders += among;
+    }
+    void joinSent(SubId id, int no, SfuId at, int rung, Micros timeOut) override {
+        if (log.wants(record::Level::Debug))
+            say(record::Level::Debug, "join",
+                {{"sub", id.v}, {"no", no}, {"at", at.v}, {"rung", rung}, {"time_out", timeOut}});
+    }
+    void joinEnded(SubId id, int no, SfuId at, const core::JoinOutcome& how) override {
+        ++ends[static_cast<std::size_t>(how.end)];
+        if (how.end != JoinEnd::Played && log.wants(record::Level::Debug))
+            say(record::Level::Debug, "join ended",
+                {{"sub", id.v}, {"no", no}, {"at", at.v}, {"why", how.why}, {"took", how.took}});
+    }
+
+    void say(record::Level level, std::string_view what, nlohmann::ordered_json fields) {
+        log.line(level, net.now(), net.wallNow(), what, std::move(fields));
+    }
+    void tellStatus() {
+        status.after(kStatusEvery);
+        const auto& c = core.counts();
+        const auto& v = viewers.counts();
+        const auto& s = servers.counts();
+        say(record::Level::Info, "status",
+            {{"held", core.held()},
+             {"unanswered", core.unanswered()},
+             {"conns", viewers.connections()},
+             {"links", servers.links()},
+             {"out", servers.out()},
+             {"standing", servers.standing()},
+             {"boxes", listed.size()},
+             {"asked", c.asked},
+             {"played", c.played},
+             {"throttled", c.throttled},
+             {"terminated", c.terminated},
+             {"left", c.left},
+             {"broke", c.broke},
+             {"joins", c.joins},
+             {"guarded", c.guarded},
+             {"chosen", chosen},
+             {"fits", fits},
+             {"among", chosen ? holders / static_cast<double>(chosen) : 0},
+             {"ends", ends},
+             {"viewers",
+              {{"accepted", v.accepted},
+               {"evicted", v.evicted},
+               {"silent", v.silent},
+               {"unreadable", v.unreadable},
+               {"unusable", v.unusable},
+               {"twice", v.twice},
+               {"handed_over", v.handedOver},
+               {"given_up", v.givenUp},
+               {"left_standing", v.leftStanding},
+               {"released", v.released},
+               {"untold", v.untold}}},
+             {"servers",
+              {{"connects", s.connects},
+               {"refused", s.refused},
+               {"no_connect", s.noConnect},
+               {"broken", s.broken},
+               {"garbled", s.garbled},
+               {"unknown", s.unknown},
+               {"looked_for", s.lookedFor},
+               {"found_gone", s.foundGone}}}});
+    }
+
+    // ---- the end ----
+    void mayStop() {
+        const Micros since = net.now() - stopAt;
+        const bool nothing = core.unanswered() == 0 && core.held() == 0;
+        if ((since >= kStopComing && nothing) || since >= longest + kStopComing - 50'000) {
+            viewers.releaseAll();
+            say(record::Level::Info, "stopped", {{"after", since}});
+            if (done) std::exchange(done, {})();
+            return;
+        }
+        stopping.after(20'000);
+    }
+
+    net::Net& net;
+    std::string file;
+    record::Log& log;
+    Json settings;
+    std::string where;
+    setup::Names names;
+    list::Names listNames;
+    Micros longest;
+    net::Endpoint changelogAt;
+    std::vector<ChangeEvent> known;
+    std::map<SfuId, ListedSfu> listed;
+    bool isCurrent = false;
+    std::uint64_t chosen = 0, fits = 0;
+    double holders = 0;
+    std::array<std::uint64_t, 8> ends{};  // of joins, by JoinEnd
+    Viewers viewers;
+    Servers servers;
+    core::Core core;
+    ChangeLog log_;
+    net::Timer status, stopping;
+    Micros stopAt = 0;
+    std::function<void()> done;
+};
+
+Node::Node(net::Net& net, const std::string& file, const std::string& text, record::Log& log)
+    : parts_(std::make_unique<Parts>(net, file, readConfiguration(file, text), log)) {}
+Node::~Node() = default;
+
+net::Endpoint Node::at() const {
+    return parts_->viewers.at();
+}
+
+void Node::reread(const std::string& text) {
+    try {
+        const Json all = readConfiguration(parts_->file, text);
+        const net::Endpoint to = endpoint(all, "changelog", parts_->file);
+        parts_->say(record::Level::Info, "configuration replaced", {{"changelog", net::text(to)}});
+        parts_->log_.moveTo(to);
+    } catch (const setup::Bad& wrong) {
+        parts_->say(record::Level::Error, "configuration passed over", {{"why", wrong.what()}});
+    }
+}
+
+void Node::stop(std::function<void()> done) {
+    if (parts_->done) return;
+    parts_->done = std::move(done);
+    parts_->stopAt = parts_->net.now();
+    parts_->say(record::Level::Info, "stopping", {});
+    parts_->mayStop();
+}
+
+}  // namespace valekeel::node
--- /dev/null
+++ b/src/node/servers.hpp
@@ -0,0 +1,120 @@
+// Speaks to media servers in the platform's protocol: joins, rungs and releases out; answers, notes and ends
+// in. It chooses no server. What the end of a join proves is read off one table here (`meaningOf`). It also
+// finds out that a media server is gone with what stood there, where nobody says so: by opening a connection,
+// never by a test, which sites may forbid.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.hpp"
+#include "node/message.hpp"
+#include "node/wire.hpp"
+
+namespace valekeel::node {
+
+struct ServerLimits {
+    std::size_t links = 64;       // connections to all media servers together
+    std::size_t joinsOnLink = 32;  // at once on one connection
+    Micros connectWithin = 250'000;
+    Micros idle = 15'000'000;        // a connection that nobody needs is closed after
+    Micros sureFor = 8'000'000;      // a paid join takes no connection that has been idle for longer
+    Micros silent = 4'000'000;       // a server with own subscriptions that says nothing is looked for
+    Micros lookAgain = 150'000;      // between two looks for it
+    int looks = 4;                   // that fail before what stood there is taken to be over
+    std::size_t unsent = 256 * 1024;  // bytes, on one connection
+    Micros unfinished = 400'000;     // how long a line may stay unfinished
+};
+
+// What of a set-up goes on unchanged.
+struct SetupWords {
+    std::string tag, room, title, description;
+};
+
+// What media servers say of what plays.
+class ServersUser {
+  public:
+    virtual ~ServersUser() = default;
+    virtual const SetupWords* wordsOf(SubId) = 0;
+    virtual void answered(SubId, const std::string& description) = 0;  // just before the core hears of it
+    virtual void over(SubId, JoinEnd, int cause, const Load&) = 0;     // it played
+};
+
+struct ServerCounts {
+    std::uint64_t connects = 0, refused = 0, noConnect = 0, broken = 0, garbled = 0, unknown = 0, lookedFor = 0,
+                  foundGone = 0;
+};
+
+class Servers final : public core::Sender {
+  public:
+    Servers(net::Net&, const ServerLimits&, ServersUser&);
+    ~Servers() override;
+    void connect(core::Core& core) { core_ = &core; }
+
+    // From the list. One that is off, or whose process is new, has lost what stood there.
+    void at(SfuId, const net::Endpoint&);
+    void off(SfuId);
+    void startedAnew(SfuId, Micros launched);
+    bool knows(SfuId at) const { return servers_.count(at) > 0; }
+
+    void handedOver(SubId, SfuId);       // it stands there already
+    void setRung(SubId, int rung);       // of what stands
+    void cut(SubId);                     // ends it there; over() tells when that is done
+    void forget(SubId);                  // nobody asks for it any more
+
+    void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) override;
+    void cancel(SubId, int joinNo) override;
+    void release(SubId, SfuId) override;
+    void followList() override {}
+
+    std::size_t links() const { return openLinks_; }
+    std::size_t standing() const;
+    std::size_t out() const;
+    const ServerCounts& counts() const { return counts_; }
+
+  private:
+    class Link;
+    struct Server;
+    struct Held;
+    Server* find(SfuId);
+    Link* linkFor(Server&, bool sure, bool forJoin);
+    Link* open(Server&);
+    void say(Server&, const std::string& line);
+    void sayEnd(Server&, const std::string& tag);
+    void heard(Link&, const Message&);
+    void standingHeard(SubId, Held&, const Message&);
+    void linkGone(Link&, Gone);
+    void ended(SubId, core::JoinOutcome);
+    void endLater(SubId, int joinNo, core::JoinOutcome);
+    void allOver(Server&, Micros before);
+    void look(Server&);
+    void tidy();
+    void bury(std::unique_ptr<Link>);
+
+    net::Net& net_;
+    ServerLimits limits_;
+    ServersUser& user_;
+    core::Core* core_ = nullptr;
+    std::map<SfuId, std::unique_ptr<Server>> servers_;
+    std::map<SubId, Held> held_;
+    std::map<std::string, SubId, std::less<>> byTag_;
+    struct Later {
+        SubId id;
+        int joinNo;
+        core::JoinOutcome outcome;
+    };
+    std::deque<Later> later_;
+    std::vector<std::unique_ptr<Link>> dead_;
+    std::size_t openLinks_ = 0;
+    ServerCounts counts_;
+    net::Timer laterTimer_, buryTimer_, tidyTimer_;
+};
+
+// "x0:12;x1:0.4": what of it the module reads.
+Load loadOf(const Message&);
+
+}  // namespace valekeel::node
--- /dev/null
+++ b/src/node/viewers.cpp
@@ -0,0 +1,439 @@
+#include "node/viewers.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace valekeel::node {
+namespace {
+
+constexpr int kNormal = 16, kCut = 41, kBusy = 42, kFailed = 41, kUnusable = 95, kTimedOut = 110;
+constexpr Micros kTidyEvery = 100'000;
+constexpr double kMostHint = 1e10;  // ms
+constexpr int kMostUseless = 4;     // set-ups that can't be used, on one connection
+
+// "home:4;copies:3;top:4": nothing where it can't be read.
+std::optional<std::map<std::string, std::string, std::less<>>> extrasOf(std::string_view all) {
+    std::map<std::string, std::string, std::less<>> out;
+    while (!all.empty()) {
+        const auto end = all.find(';');
+        const std::string_view one = all.substr(0, end);
+        all = end == std::string_view::npos ? std::string_view{} : all.substr(end + 1);
+        const auto colon = one.find(':');
+        if (colon == std::string_view::npos) return std::nullopt;
+        out[std::string(one.substr(0, colon))] = one.substr(colon + 1);
+    }
+    return out;
+}
+
+std::optional<int> wholeOf(std::string_view text, int least, int most) {
+    int value = 0;
+    const auto [end, wrong] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (wrong != std::errc{} || end != text.data() + text.size() || value < least || value > most)
+        return std::nullopt;
+    return value;
+}
+
+std::optional<SfuId> serverOf(std::string_view text) {
+    if (text.size() != 10 || text.substr(0, 2) != "s-") return std::nullopt;
+    std::uint32_t id = 0;
+    const auto [end, wrong] = std::from_chars(text.data() + 2, text.data() + 10, id, 16);
+    if (wrong != std::errc{} || end != text.data() + 10) return std::nullopt;
+    return SfuId{id};
+}
+
+Message finish(const std::string& tag, int cause) {
+    Message out;
+    out.verb = "FINISH";
+    out.tag = tag;
+    out.cause = cause;
+    return out;
+}
+
+// What a set-up asks for; nothing, and why, where that can't be used.
+struct Request {
+    Wish wish;
+    Micros left = 0;
+    std::optional<SfuId> playsAt;
+};
+std::optional<Request> requestOf(const Message& m, const Asked& asked, Micros longest, const char*& why) {
+    Request out;
+    const auto no = [&](const char* what) {
+        why = what;
+        return std::nullopt;
+    };
+    const std::string *room = m.text("class"), *title = m.text("key"), *extras = m.text("extras");
+    if (!room) return no("no class");
+    const auto found = std::find(asked.rooms.begin(), asked.rooms.end(), *room);
+    if (found == asked.rooms.end()) return no("unknown class");
+    out.wish.room = RoomTypeId{static_cast<std::uint32_t>(found - asked.rooms.begin())};
+    if (!title || title->empty()) return no("no title");
+    out.wish.title = TitleId{*title};
+    if (!m.description) return no("no description");
+    const auto left = m.number("left");
+    if (!left || *left <= 0 || *left * 1000 > static_cast<double>(longest)) return no("no usable 'left'");
+    out.left = static_cast<Micros>(*left * 1000);
+    if (m.opts.contains("hint")) {
+        const auto hint = m.number("hint");
+        if (!hint || *hint < 0 || *hint > kMostHint) return no("no usable 'hint'");
+        out.wish.watchSeconds = *hint / 1000;
+    }
+    if (!extras) return no("no extras");
+    const auto parts = extrasOf(*extras);
+    if (!parts) return no("extras can't be read");
+    const auto figure = [&](const char* name, int least, int most) -> std::optional<int> {
+        const auto it = parts->find(name);
+        return it == parts->end() ? std::nullopt : wholeOf(it->second, least, most);
+    };
+    const auto home = figure("home", 0, asked.cells - 1), copies = figure("copies", 1, asked.cells),
+               top = figure("top", 0, 1000);
+    if (!home || !copies || !top) return no("no usable 'home', 'copies' or 'top'");
+    out.wish.firstCell = Cell{static_cast<std::uint32_t>(*home)};
+    out.wish.holders = *copies;
+    out.wish.maxRung = std::min(*top, asked.rungs - 1);
+    if (const auto at = parts->find("at"); at != parts->end()) {
+        out.playsAt = serverOf(at->second);
+        if (!out.playsAt) return no("no usable 'at'");
+    }
+    return out;
+}
+
+}  // namespace
+
+class Viewers::Conn final : public WireUser {
+  public:
+    Conn(Viewers& all, std::uint64_t key, std::unique_ptr<net::Stream> stream)
+        : all(all),
+          key(key),
+          since(all.net_.now()),
+          wire(all.net_, std::move(stream),
+               Wire::Limits{kLongestLine, all.limits_.unsent, all.limits_.unfinished}, *this) {}
+    void line(std::string_view bytes) override { all.heard(*this, bytes); }
+    void gone(Gone how) override {
+        if (how == Gone::Garbled) ++all.counts_.unreadable;
+        all.connGone(*this);
+    }
+    Viewers& all;
+    std::uint64_t key;
+    Micros since;
+    bool proven = false;  // it has brought something of use
+    std::set<SubId> open;  // set-ups without an answer
+    int useless = 0;
+    std::size_t standing = 0;  // subscriptions that were set up on it
+    Wire wire;
+};
+
+struct Viewers::Asking {
+    SetupWords words;
+    std::uint64_t conn = 0;
+    bool plays = false, leaving = false, gone = false;
+    std::string answer;  // the media server's description, until it has been passed on
+    std::unique_ptr<net::Timer> cut;
+};
+
+Viewers::Viewers(net::Net& net, const net::Endpoint& where, const ViewerLimits& limits, Asked asked)
+    : net_(net),
+      where_(where),
+      limits_(limits),
+      asked_(std::move(asked)),
+      buryTimer_(net, [this] { dead_.clear(); }),
+      tidyTimer_(net, [this] { tidy(); }) {}
+Viewers::~Viewers() = default;
+
+void Viewers::listen() {
+    listener_ = net_.listen(where_, *this);
+    tidyTimer_.after(kTidyEvery);
+}
+
+// ================= connections =================
+
+void Viewers::accepted(std::unique_ptr<net::Stream> stream) {
+    ++counts_.accepted;
+    if (conns_.size() >= limits_.connections) makeRoom();
+    if (conns_.size() >= limits_.connections) return;  // closed as it goes
+    const std::uint64_t key = nextConn_++;
+    conns_[key] = std::make_unique<Conn>(*this, key, std::move(stream));
+}
+
+// Connects that say nothing must not keep out those that ask: first the oldest of those that have brought
+// nothing goes, then one on which nothing is open.
+void Viewers::makeRoom() {
+    Conn* pick = nullptr;
+    const auto rank = [](const Conn& c) { return std::pair(c.proven, c.wire.heardAt()); };
+    for (const auto& [key, conn] : conns_)
+        if (conn->open.empty() && (!pick || rank(*conn) < rank(*pick))) pick = conn.get();
+    if (!pick) return;
+    ++counts_.evicted;
+    drop(*pick);
+}
+
+void Viewers::drop(Conn& conn) {
+    conn.wire.close();
+    connGone(conn);
+}
+
+// Whoever hangs up on a set-up has given it up.
+void Viewers::connGone(Conn& conn) {
+    const std::set<SubId> open = std::move(conn.open);
+    conn.open.clear();
+    const auto it = conns_.find(conn.key);
+    if (it == conns_.end()) return;
+    dead_.push_back(std::move(it->second));
+    conns_.erase(it);
+    buryTimer_.soon();
+    for (const SubId id : open) {
+        ++counts_.givenUp;
+        core_->left(id);
+    }
+}
+
+void Viewers::tidy() {
+    tidyTimer_.after(kTidyEvery);
+    const Micros now = net_.now();
+    std::vector<Conn*> idle;
+    for (const auto& [key, conn] : conns_) {
+        if (!conn->open.empty()) continue;
+        const Micros rest = now - std::max(conn->wire.heardAt(), conn->wire.usedAt());
+        if (conn->proven ? rest > limits_.idle && conn->standing == 0
+                         : now - conn->since > limits_.provenWithin)
+            idle.push_back(conn.get());
+    }
+    for (Conn* conn : idle) {
+        counts_.silent += !conn->proven;
+        drop(*conn);
+    }
+    while (!toTell_.empty() && now - toTell_.front().first > limits_.tellFor) {
+        ++counts_.untold;
+        toTell_.pop_front();
+    }
+}
+
+// ================= in =================
+
+void Viewers::heard(Conn& conn, std::string_view line) {
+    const auto message = messageOf(line);
+    if (!message) {
+        ++counts_.unreadable;
+        return drop(conn);
+    }
+    if (message->verb == "START") return setup(conn, *message);
+    if (message->verb == "FINISH") return ending(conn, *message);
+    if (message->verb == "ECHO") {
+        ++counts_.tests;
+        conn.proven = true;
+        Message passed;
+        passed.verb = "ECHOED";
+        passed.tag = message->tag;
+        passed.cause = 1;
+        conn.wire.say(lineOf(passed));
+    } else if (message->verb != "FINISHED" && message->verb != "PENDING") {
+        return useless(conn, message->tag, "unknown verb");
+    }
+    if (conn.proven)
+        while (!toTell_.empty() && !conn.wire.isClosed()) {
+            conn.wire.say(toTell_.front().second);
+            toTell_.pop_front();
+        }
+}
+
+// Refused as unusable. Nothing of it reaches the core, and no media server is asked.
+void Viewers::useless(Conn& conn, const std::string& tag, const char*) {
+    ++counts_.unusable;
+    conn.wire.say(lineOf(finish(wellFormedTag(tag) ? tag : "", kUnusable)));
+    // Whoever sends the same again as soon as it is turned away must not take up the core.
+    if (++conn.useless >= kMostUseless) drop(conn);
+}
+
+void Viewers::setup(Conn& conn, const Message& m) {
+    if (!wellFormedTag(m.tag)) return useless(conn, m.tag, "no id");
+    const char* why = "";
+    const auto request = requestOf(m, asked_, limits_.longestWait, why);
+    const auto known = byTag_.find(m.tag);
+    if (known != byTag_.end()) {
+        if (request && request->playsAt) return;  // handed over, and held already
+        // One id, two set-ups: which of them an answer would be for can't be told, so neither is served. The
+        // first goes on if it came on another connection: nobody ends it by guessing its id.
+        ++counts_.twice;
+        const SubId id = known->second;
+        if (conn.open.count(id)) {
+            conn.wire.say(lineOf(finish(m.tag, kUnusable)));
+            conn.open.erase(id);
+            core_->left(id);
+        }
+        return drop(conn);
+    }
+    if (!request) return useless(conn, m.tag, why);
+    conn.proven = true;
+    SetupWords words{m.tag, *m.text("class"), *m.text("key"), *m.description};
+    if (request->playsAt) {
+        ++counts_.handedOver;
+        const auto id = servers_->knows(*request->playsAt) ? core_->handOver(*this, request->wish, *request->playsAt)
+                                                           : std::nullopt;
+        if (!id) {  // what plays at a server that is gone is over
+            conn.wire.say(lineOf(finish(m.tag, kCut)));
+            return;
+        }
+        Asking& asking = asking_[*id];
+        asking.words = std::move(words);
+        asking.conn = conn.key;
+        asking.plays = true;
+        ++conn.standing;
+        byTag_[m.tag] = *id;
+        servers_->handedOver(*id, *request->playsAt);
+        return;
+    }
+    ++counts_.setups;
+    const auto id = conn.open.size() < limits_.openOnOne ? core_->ask(*this, request->wish, request->left)
+                                                         : std::nullopt;
+    if (!id) {
+        conn.wire.say(lineOf(finish(m.tag, kBusy)));
+        return;
+    }
+    Asking& asking = asking_[*id];
+    asking.words = std::move(words);
+    asking.conn = conn.key;
+    byTag_[m.tag] = *id;
+    conn.open.insert(*id);
+    core_->begin(*id);
+}
+
+void Viewers::ending(Conn& conn, const Message& m) {
+    const auto known = byTag_.find(m.tag);
+    if (known == byTag_.end()) {
+        Message heard;
+        heard.verb = "FINISHED";
+        heard.tag = m.tag;
+        conn.wire.say(lineOf(heard));
+        return;
+    }
+    const SubId id = known->second;
+    Asking& asking = asking_.at(id);
+    if (!asking.plays) {
+        ++counts_.givenUp;
+        if (const auto it = conns_.find(asking.conn); it != conns_.end()) it->second->open.erase(id);
+        core_->left(id);
+        return;
+    }
+    if (asking.leaving) return;
+    // Its seat counts until its media server has ended it, or has had time to.
+    ++counts_.leftStanding;
+    asking.leaving = true;
+    asking.cut = std::make_unique<net::Timer>(net_, [this, id] { core_->left(id); });
+    asking.cut->after(limits_.cutWithin);
+    servers_->cut(id);
+}
+
+// ================= out =================
+
+// On the connection that it was set up on, if that stands. A release may go out on any: it is said on the
+// one that brought something of use last, and kept for the next one where none stands.
+void Viewers::tell(SubId id, const Message& message, bool release) {
+    const auto it = asking_.find(id);
+    if (it == asking_.end()) return;
+    const std::string line = lineOf(message);
+    if (const auto conn = conns_.find(it->second.conn); conn != conns_.end()) {
+        conn->second->open.erase(id);
+        conn->second->wire.say(line);
+        return;
+    }
+    if (!release) return;
+    Conn* pick = nullptr;
+    for (const auto& [key, conn] : conns_)
+        if (conn->proven && (!pick || conn->wire.heardAt() > pick->wire.heardAt())) pick = conn.get();
+    if (pick) {
+        pick->wire.say(line);
+    } else {
+        if (toTell_.size() >= limits_.toTell) toTell_.pop_front();
+        toTell_.emplace_back(net_.now(), line);
+    }
+}
+
+void Viewers::release(SubId id, int cause) {
+    const auto it = asking_.find(id);
+    if (it == asking_.end() || it->second.leaving) return;
+    ++counts_.released;
+    tell(id, finish(it->second.words.tag, cause), true);
+}
+
+void Viewers::plays(SubId id, SfuId, int) {
+    const auto it = asking_.find(id);
+    if (it == asking_.end()) return;
+    ++counts_.played;
+    it->second.plays = true;
+    if (const auto conn = conns_.find(it->second.conn); conn != conns_.end()) ++conn->second->standing;
+    Message answer;
+    answer.verb = "STARTED";
+    answer.tag = it->second.words.tag;
+    answer.description = std::move(it->second.answer);
+    it->second.answer.clear();
+    it->second.words.description.clear();  // no other join will need it
+    it->second.words.description.shrink_to_fit();
+    tell(id, answer, false);
+}
+
+void Viewers::throttled(SubId id, Micros comeBack) {
+    ++counts_.throttled;
+    const auto it = asking_.find(id);
+    if (it == asking_.end()) return;
+    Message refusal = finish(it->second.words.tag, kBusy);
+    if (comeBack > 0) refusal.opts["wait"] = std::to_string((comeBack + 999) / 1000);
+    tell(id, refusal, false);
+}
+
+void Viewers::terminated(SubId id, core::Ended how) {
+    ++counts_.terminated;
+    const auto it = asking_.find(id);
+    if (it != asking_.end())
+        tell(id, finish(it->second.words.tag, how == core::Ended::TimedOut ? kTimedOut : kFailed), false);
+}
+
+void Viewers::rungSet(SubId id, int rung) {
+    servers_->setRung(id, rung);
+}
+void Viewers::broke(SubId id) {
+    release(id, kCut);
+}
+void Viewers::finished(SubId id) {
+    release(id, kNormal);
+}
+
+void Viewers::releaseAll() {
+    std::vector<SubId> all;
+    for (const auto& [id, asking] : asking_)
+        if (asking.plays && !asking.leaving) all.push_back(id);
+    for (const SubId id : all) {
+        release(id, kCut);
+        core_->left(id);
+    }
+}
+
+// ================= from media servers =================
+
+const SetupWords* Viewers::wordsOf(SubId id) {
+    const auto it = asking_.find(id);
+    return it == asking_.end() ? nullptr : &it->second.words;
+}
+void Viewers::answered(SubId id, const std::string& description) {
+    const auto it = asking_.find(id);
+    if (it != asking_.end()) it->second.answer = description;
+}
+void Viewers::over(SubId id, JoinEnd end, int, const Load& load) {
+    const auto it = asking_.find(id);
+    if (it != asking_.end() && it->second.leaving)
+        core_->left(id);  // its viewer has left, and is owed no release
+    else
+        core_->lost(id, end, load);
+}
+
+void Viewers::forget(SubId id) {
+    const auto it = asking_.find(id);
+    if (it == asking_.end()) return;
+    if (const auto conn = conns_.find(it->second.conn); conn != conns_.end()) {
+        conn->second->open.erase(id);
+        if (it->second.plays && conn->second->standing > 0) --conn->second->standing;
+    }
+    byTag_.erase(it->second.words.tag);
+    asking_.erase(it);
+}
+
+}  // namespace valekeel::node
--- /dev/null
+++ b/src/node/viewers.hpp
@@ -0,0 +1,104 @@
+// The viewers' side of the platform's protocol: set-ups, what ends them, tests in; answers and releases out.
+// What can't be read or used is refused here and never reaches the core. It decides nothing else.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.hpp"
+#include "node/message.hpp"
+#include "node/servers.hpp"
+#include "node/wire.hpp"
+
+namespace valekeel::node {
+
+struct ViewerLimits {
+    std::size_t connections = 340;
+    std::size_t openOnOne = 512;      // set-ups without an answer, on one connection
+    Micros provenWithin = 2'200'000;  // a connection that has brought nothing of use is closed after
+    Micros idle = 6'000'000;          // one on which nothing is open, after
+    Micros unfinished = 2'000'000;    // how long a line may stay unfinished
+    std::size_t unsent = 256 * 1024;  // bytes, on one connection
+    Micros longestWait = 60'000'000;  // a viewer may name
+    Micros tellFor = 8'000'000;       // a release that no connection takes is kept for so long
+    std::size_t toTell = 4'096;       // of them
+    Micros cutWithin = 400'000;       // a media server confirms the end of what its viewer left
+};
+
+struct ViewerCounts {
+    std::uint64_t accepted = 0, evicted = 0, silent = 0, unreadable = 0, unusable = 0, tests = 0, setups = 0,
+                  handedOver = 0, played = 0, throttled = 0, terminated = 0, released = 0, givenUp = 0,
+                  leftStanding = 0, untold = 0, twice = 0;
+};
+
+// What a set-up must keep to, as the platform's settings have it.
+struct Asked {
+    std::vector<std::string> rooms;
+    int cells = 1, rungs = 1;
+};
+
+class Viewers final : public core::Face, public ServersUser, private net::ListenerUser {
+  public:
+    Viewers(net::Net&, const net::Endpoint&, const ViewerLimits&, Asked);
+    ~Viewers() override;
+    void connect(core::Core& core, Servers& servers) {
+        core_ = &core;
+        servers_ = &servers;
+    }
+    void listen();
+    net::Endpoint at() const { return listener_->at(); }
+    void forget(SubId);  // the core holds it no more
+    // All that plays is released, here and at its media server; for the end of this front.
+    void releaseAll();
+    std::size_t connections() const { return conns_.size(); }
+    const ViewerCounts& counts() const { return counts_; }
+
+  private:
+    class Conn;
+    struct Asking;
+    // ---- core::Face ----
+    void plays(SubId, SfuId, int rung) override;
+    void throttled(SubId, Micros comeBack) override;
+    void terminated(SubId, core::Ended) override;
+    void rungSet(SubId, int rung) override;
+    void broke(SubId) override;
+    void finished(SubId) override;
+    // ---- ServersUser ----
+    const SetupWords* wordsOf(SubId) override;
+    void answered(SubId, const std::string& description) override;
+    void over(SubId, JoinEnd, int cause, const Load&) override;
+
+    void accepted(std::unique_ptr<net::Stream>) override;
+    void heard(Conn&, std::string_view line);
+    void setup(Conn&, const Message&);
+    void ending(Conn&, const Message&);
+    void useless(Conn&, const std::string& tag, const char* why);
+    void connGone(Conn&);
+    void drop(Conn&);
+    void tell(SubId, const Message&, bool release);
+    void release(SubId, int cause);
+    void makeRoom();
+    void tidy();
+
+    net::Net& net_;
+    net::Endpoint where_;
+    ViewerLimits limits_;
+    Asked asked_;
+    core::Core* core_ = nullptr;
+    Servers* servers_ = nullptr;
+    std::unique_ptr<net::Listener> listener_;
+    std::map<std::uint64_t, std::unique_ptr<Conn>> conns_;
+    std::uint64_t nextConn_ = 1;
+    std::map<SubId, Asking> asking_;
+    std::map<std::string, SubId, std::less<>> byTag_;
+    std::deque<std::pair<Micros, std::string>> toTell_;
+    std::vector<std::unique_ptr<Conn>> dead_;
+    ViewerCounts counts_;
+    net::Timer buryTimer_, tidyTimer_;
+};
+
+}  // namespace valekeel::node
--- /dev/null
+++ b/src/node/wire.cpp
@@ -0,0 +1,154 @@
+#include "node/wire.hpp"
+
+#include <array>
+
+namespace valekeel::node {
+namespace {
+
+constexpr std::size_t kPortion = 32 * 1024;  // read of one connection in one turn
+
+}  // namespace
+
+const char* nameOf(Gone gone) {
+    static constexpr const char* kNames[] = {"refused", "no connection", "no descriptor", "closed",
+                                             "broken",  "garbled",       "slow"};
+    return kNames[static_cast<int>(gone)];
+}
+
+Wire::Wire(net::Net& net, std::unique_ptr<net::Stream> stream, const Limits& limits, WireUser& user)
+    : net_(net),
+      limits_(limits),
+      user_(user),
+      state_(State::Open),
+      heardAt_(net.now()),
+      usedAt_(net.now()),
+      late_(net, [this] { lose(Gone::NoConnect); }),
+      more_(net, [this] { readable(); }),
+      unfinished_(net, [this] { lose(Gone::Garbled); }),
+      stream_(std::move(stream)) {
+    stream_->handTo(*this);
+}
+
+Wire::Wire(net::Net& net, const net::Endpoint& to, Micros connectWithin, const Limits& limits, WireUser& user)
+    : net_(net),
+      limits_(limits),
+      user_(user),
+      state_(State::Connecting),
+      heardAt_(net.now()),
+      usedAt_(net.now()),
+      late_(net, [this] { lose(Gone::NoConnect); }),
+      more_(net, [this] { readable(); }),
+      unfinished_(net, [this] { lose(Gone::Garbled); }),
+      stream_(net.connect(to, *this)) {
+    late_.after(connectWithin);
+}
+
+Wire::~Wire() = default;
+
+std::uint64_t Wire::say(std::string_view line) {
+    const std::uint64_t at = said_;
+    if (state_ == State::Closed) return at;
+    said_ += line.size();
+    usedAt_ = net_.now();
+    out_ += line;
+    if (state_ == State::Open) flush();
+    return at;
+}
+
+// A write that finds the connection broken is told of by the next turn's edge, or by a slow reader's limit:
+// never from within say(), whose caller is in the middle of something.
+void Wire::flush() {
+    if (out_.empty() || state_ != State::Open) return;
+    const net::Moved put = stream_->write(out_);
+    taken_ += put.bytes;
+    out_.erase(0, put.bytes);
+    if (out_.empty() && out_.capacity() > 4096) std::string().swap(out_);
+    if (put.then == net::Moved::Then::Broken || out_.size() > limits_.unsent) more_.soon();
+}
+
+void Wire::connected() {
+    state_ = State::Open;
+    late_.cancel();
+    heardAt_ = net_.now();
+    flush();
+    user_.opened();
+}
+
+void Wire::connectFailed(net::NoStream why) {
+    lose(why == net::NoStream::Refused            ? Gone::Refused
+         : why == net::NoStream::OutOfDescriptors ? Gone::NoSocket
+                                                  : Gone::NoConnect);
+}
+
+void Wire::writable() {
+    flush();
+}
+
+void Wire::readable() {
+    if (state_ != State::Open) return;
+    // Guards against a peer that asks on and on and never reads what it is told.
+    if (out_.size() > limits_.unsent) return lose(Gone::Slow);
+    std::array<char, 8192> buffer;
+    for (std::size_t left = kPortion; left > 0;) {
+        const net::Moved got = stream_->read(buffer);
+        if (got.then == net::Moved::Then::Again) return;
+        if (got.then == net::Moved::Then::Ended) return lose(in_.empty() ? Gone::Closed : Gone::Garbled);
+        if (got.then == net::Moved::Then::Broken) return lose(Gone::Broken);
+        heardAt_ = net_.now();
+        if (!takeLines(std::string_view(buffer.data(), got.bytes))) return;
+        left -= std::min(left, got.bytes);
+    }
+    more_.soon();
+}
+
+// False once the wire is closed.
+bool Wire::takeLines(std::string_view bytes) {
+    while (!bytes.empty()) {
+        const auto end = bytes.find('\n');
+        if (in_.size() + std::min(end, bytes.size()) > limits_.line) {
+            lose(Gone::Garbled);
+            return false;
+        }
+        if (end == std::string_view::npos) {
+            if (in_.empty()) unfinished_.after(limits_.unfinished);
+            in_ += bytes;
+            return true;
+        }
+        if (in_.empty()) {
+            user_.line(bytes.substr(0, end));
+        } else {
+            unfinished_.cancel();
+            std::string whole;
+            whole.swap(in_);
+            whole += bytes.substr(0, end);
+            user_.line(whole);
+        }
+        if (state_ != State::Open) return false;
+        bytes.remove_prefix(end + 1);
+    }
+    return true;
+}
+
+void Wire::lose(Gone how) {
+    if (state_ == State::Closed) return;
+    close();
+    user_.gone(how);
+}
+
+void Wire::close(bool hard) {
+    if (state_ == State::Closed) return;
+    // A connect that failed is told from within the stream: that one dies with this wire.
+    if (state_ == State::Connecting)
+        failed_ = std::move(stream_);
+    else if (hard)
+        stream_->reset();
+    state_ = State::Closed;
+    late_.cancel();
+    more_.cancel();
+    unfinished_.cancel();
+    stream_.reset();
+    std::string().swap(in_);
+    std::string().swap(out_);
+}
+
+}  // namespace valekeel::node
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -1,136 +1,16 @@
 #include "wirehost/wire.hpp"
 
-#include <cmath>
-#include <limits>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 #include "logic.hpp"
+#include "setup/setup.hpp"
 
 namespace valekeel::wire {
 
-using Json = nlohmann::json;
+using namespace setup;
 
 namespace {
 
-// ---- values, each with a plain message on what is missing or of the wrong type ----
-
-[[noreturn]] void bad(const std::string& where, const std::string& what) {
-    throw BadLine(where + ": " + what);
-}
-
-const Json* find(const Json& object, const char* key) {
-    auto it = object.find(key);
-    return it == object.end() || it->is_null() ? nullptr : &*it;
-}
-
-const Json& need(const Json& object, const char* key, const std::string& where) {
-    if (!object.is_object()) bad(where, "an object is expected");
-    const Json* value = find(object, key);
-    if (!value) bad(where, std::string("'") + key + "' is missing");
-    return *value;
-}
-
-double number(const Json& object, const char* key, const std::string& where) {
-    const Json& value = need(object, key, where);
-    if (!value.is_number()) bad(where, std::string("'") + key + "' is no number");
-    return value.get<double>();
-}
-
-double numberOr(const Json& object, const char* key, double otherwise, const std::string& where) {
-    return find(object, key) ? number(object, key, where) : otherwise;
-}
-
-std::int64_t whole(const Json& object, const char* key, const std::string& where) {
-    const Json& value = need(object, key, where);
-    if (!value.is_number_integer()) bad(where, std::string("'") + key + "' is no whole number");
-    return value.get<std::int64_t>();
-}
-
-std::uint32_t id32(const Json& object, const char* key, const std::string& where) {
-    std::int64_t value = whole(object, key, where);
-    if (value < 0 || value > std::numeric_limits<std::uint32_t>::max())
-        bad(where, std::string("'") + key + "' is out of range");
-    return static_cast<std::uint32_t>(value);
-}
-
-int smallInt(const Json& object, const char* key, const std::string& where) {
-    std::int64_t value = whole(object, key, where);
-    if (value < std::numeric_limits<int>::min() || value > std::numeric_limits<int>::max())
-        bad(where, std::string("'") + key + "' is out of range");
-    return static_cast<int>(value);
-}
-
-std::string text(const Json& object, const char* key, const std::string& where) {
-    const Json& value = need(object, key, where);
-    if (!value.is_string()) bad(where, std::string("'") + key + "' is no text");
-    return value.get<std::string>();
-}
-
-std::string textOr(const Json& object, const char* key, const std::string& otherwise,
-                   const std::string& where) {
-    return find(object, key) ? text(object, key, where) : otherwise;
-}
-
-bool flag(const Json& object, const char* key, const std::string& where) {
-    const Json* value = find(object, key);
-    if (!value) return false;
-    if (!value->is_boolean()) bad(where, std::string("'") + key + "' is neither true nor false");
-    return value->get<bool>();
-}
-
-Micros micros(double secs, const std::string& where) {
-    if (!std::isfinite(secs) || std::fabs(secs) > 1e12) bad(where, "a time is out of range");
-    return std::llround(secs * 1e6);
-}
-
-Micros time(const Json& object, const char* key, const std::string& where) {
-    return micros(number(object, key, where), where);
-}
-
-Micros timeOr(const Json& object, const char* key, const std::string& where) {
-    return find(object, key) ? time(object, key, where) : 0;
-}
-
-const Json& part(const Json& object, const char* key, const std::string& where) {
-    const Json& value = need(object, key, where);
-    if (!value.is_object()) bad(where, std::string("'") + key + "' is no object");
-    return value;
-}
-
-const Json& array(const Json& object, const char* key, const std::string& where) {
-    const Json& value = need(object, key, where);
-    if (!value.is_array()) bad(where, std::string("'") + key + "' is no array");
-    return value;
-}
-
-std::vector<double> numbers(const Json& object, const char* key, const std::string& where) {
-    std::vector<double> out;
-    for (const Json& value : array(object, key, where)) {
-        if (!value.is_number()) bad(where, std::string("'") + key + "' holds what is no number");
-        out.push_back(value.get<double>());
-    }
-    return out;
-}
-
-std::vector<bool> flags(const Json& object, const char* key, const std::string& where) {
-    std::vector<bool> out;
-    if (!find(object, key)) return out;
-    for (const Json& value : array(object, key, where)) {
-        if (!value.is_boolean())
-            bad(where, std::string("'") + key + "' holds what is neither true nor false");
-        out.push_back(value.get<bool>());
-    }
-    return out;
-}
-
-std::uint32_t placeOf(const std::vector<std::string>& names, const std::string& name,
-                      const std::string& where) {
-    for (std::size_t i = 0; i < names.size(); ++i)
-        if (names[i] == name) return static_cast<std::uint32_t>(i);
-    bad(where, "'" + name + "' is not among the names in the settings");
-}
-
 JoinEnd endOf(std::int64_t code, const std::string& where) {
     switch (code) {
         case 100:
@@ -163,84 +43,17 @@
     Front(std::string name, const Json& hello, Micros now, Json& cmds, const std::string& where)
         : name_(std::move(name)), cmds_(&cmds) {
         const Json& setup = part(hello, "setup", where);
-        const Json& video = part(setup, "specifics", where);
-        const Json& rules = part(setup, "rules", where);
-        const Json& allowed = part(setup, "allowed", where);
-        for (const Json& kind : array(setup, "host_types", where)) {
-            if (!kind.is_string()) bad(where, "'host_types' holds what is no text");
-            kinds_.push_back(kind.get<std::string>());
-        }
-
-        for (const Json& zone : find(setup, "zones") ? array(setup, "zones", where) : Json::array()) {
-            if (!zone.is_string()) bad(where, "'zones' holds what is no text");
-            zones_.push_back(zone.get<std::string>());
-        }
-
-        Ladder ladder{numbers(video, "ladder_kb", where), numbers(video, "ladder_worth", where),
-                      numberOr(video, "stall", 0, where), numberOr(video, "switch_cost_s", 0, where),
-                      numberOr(video, "join", 1, where)};
-        if (ladder.joinPart < 0 || ladder.joinPart > 1) bad(where, "'join' is no part of a rate");
-        if (ladder.kb.empty() || ladder.kb.size() != ladder.worth.size())
-            bad(where, "'ladder_kb' and 'ladder_worth' do not match");
-        const auto factors = numbers(video, "rate_factor", where);
-        const auto floors = numbers(video, "lowest_rung", where);
-        const auto tops = numbers(video, "highest_rung", where);
-        const auto seats = numbers(video, "licence_cap", where);
-        const auto lives = flags(video, "is_live", where);
-        std::vector<RoomType> rooms;
-        for (const Json& room : array(setup, "request_classes", where)) {
-            const std::size_t at = rooms.size();
-            if (at >= factors.size() || at >= floors.size() || at >= tops.size() || at >= seats.size())
-                bad(where, "'specifics' lacks figures of a room type");
-            const std::string repeat = text(room, "idempotency", where);
-            if (repeat != "pure" && repeat != "token" && repeat != "side_effect")
-                bad(where, "idempotency '" + repeat + "' is unknown");
-            rooms.push_back({text(room, "name", where), time(room, "promise", where),
-                             number(room, "importance", where), repeat == "side_effect", repeat == "token",
-                             textOr(room, "group", "all", where) == "all",
-                             timeOr(room, "repeat_window", where), factors[at], static_cast<int>(floors[at]),
-                             std::min(static_cast<int>(tops[at]), static_cast<int>(ladder.kb.size()) - 1),
-                             static_cast<int>(seats[at]), at < lives.size() && lives[at]});
-            rooms_.push_back(rooms.back().name);
-        }
-        Fleet fleet;
-        fleet.cells = smallInt(video, "cells", where);
-        fleet.racks = smallInt(video, "racks", where);
-        if (fleet.cells < 1 || fleet.racks < 1) bad(where, "'cells' and 'racks' start at 1");
-        fleet.linksKb = number(video, "links_kb", where);
-        fleet.linkKbPerSize = numberOr(video, "weight_kb", 0, where);
-        fleet.uplinkKb = numberOr(video, "rack_link_kb", 0, where);
-        fleet.fullFrom = numberOr(video, "full_from", 0, where);
-        const std::string weights = textOr(setup, "weights", "none", where);
-        fleet.listAsked = textOr(setup, "discovery", "push", where) == "ask";
-        fleet.sizesTold = weights == "nominal" || weights == "rough";
-        for (double places : numbers(video, "places_by_kind", where))
-            fleet.places.push_back(static_cast<int>(places));
-        if (fleet.places.size() != kinds_.size()) bad(where, "'places_by_kind' does not match 'host_types'");
-
-        if (find(setup, "zone")) fleet.zone = ZoneId{placeOf(zones_, text(setup, "zone", where), where)};
-
-        const ColdTerms cold{time(rules, "cold", where), number(rules, "start_capacity", where),
-                             number(rules, "fall_multiple", where), time(rules, "tip_after", where)};
-        std::optional<JoinBudget> budget;
-        if (find(rules, "spare_attempts") || find(rules, "resend_ratio"))
-            budget = JoinBudget{numberOr(rules, "spare_attempts", 0, where),
-                                numberOr(rules, "resend_ratio", 0, where), time(rules, "look_back", where)};
-        const Tidings tidings{timeOr(video, "told_late", where), timeOr(video, "told_every", where)};
-        const Allowed leave{smallInt(allowed, "attempts_cap", where), flag(allowed, "retry_after", where),
-                            timeOr(allowed, "max_retry_after", where)};
-        Prices prices;
-        if (const Json* told = find(setup, "prices")) {
-            prices.crossZone = numberOr(*told, "cross_zone", 0, where);
-        }
+        const setup::Names names = setup::namesOf(setup, where);
+        kinds_ = names.kinds;
+        zones_ = names.zones;
+        for (const Json& room : array(setup, "request_classes", where))
+            rooms_.push_back(text(room, "name", where));
         const Json& seed = need(hello, "rng_seed", where);
         if (!seed.is_number_integer()) bad(where, "'rng_seed' is no whole number");
         const std::uint64_t seedValue = seed.is_number_unsigned()
                                             ? seed.get<std::uint64_t>()
                                             : static_cast<std::uint64_t>(seed.get<std::int64_t>());
-        logic_ =
-            std::make_unique<Logic>(*this, now, seedValue, smallInt(setup, "balancers", where), ladder, rooms,
-                                    fleet, cold, budget ? &*budget : nullptr, tidings, leave, prices);
+        logic_ = setup::made<Logic>(*this, now, seedValue, setup, where);
     }
 
     void hear(const std::string& verb, const Json& event, Micros now, Json& cmds, const std::string& where) {
--- a/src/wirehost/wire.hpp
+++ b/src/wirehost/wire.hpp
@@ -5,19 +5,14 @@
 
 #include <map>
 #include <memory>
-#include <nlohmann/json_fwd.hpp>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
-#include "model/records.hpp"
+#include "setup/values.hpp"
 
 namespace valekeel::wire {
 
-// What is wrong with a line, and where.
-struct BadLine : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using BadLine = setup::Bad;  // what is wrong with a line, and where
 
 class Front;
 
