--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -133,6 +133,11 @@
                FrameReader(names.kinds.size(), names.zones.size(), 4096), ChangeLogTimes{}, *this),
           status(net, [this] { tellStatus(); }),
           stopping(net, [this] { mayStop(); }) {
+        const auto odd = [this](const char* what, std::string_view detail) {
+            say(record::Level::Warning, what, {{"seen", detail.substr(0, 400)}});
+        };
+        viewers.onOdd(odd);
+        servers.onOdd(odd);
         viewers.connect(core, servers);
         servers.connect(core);
         for (const ChangeEvent& event : known) take(event, true);
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -61,6 +61,7 @@
         const auto message = messageOf(bytes);
         // After what can't be read nothing on this connection can be trusted to begin where it should.
         if (!message) {
+            all.odd_("a media server's line can't be read", bytes.substr(0, 200));
             wire.close(true);
             return gone(Gone::Garbled);
         }
@@ -374,7 +375,7 @@
     // What nobody here waits for at this server: of a set-up given up on, told twice, or never asked for.
     if (it == held_.end() || it->second.at != server.id) {
         ++counts_.unknown;
-        return;
+        return odd_("about no subscription held there", lineOf(message));
     }
     const SubId id = it->first;
     Held& held = it->second;
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -53,6 +54,8 @@
   public:
     Servers(net::Net&, const ServerLimits&, ServersUser&);
     ~Servers() override;
+    // What was odd, and what of a message shows it; for the log.
+    void onOdd(std::function<void(const char* what, std::string_view detail)> told) { odd_ = std::move(told); }
     void connect(core::Core& core) { core_ = &core; }
 
     // From the list. One that is off, or whose process is new, has lost what stood there.
@@ -98,6 +101,7 @@
     net::Net& net_;
     ServerLimits limits_;
     ServersUser& user_;
+    std::function<void(const char*, std::string_view)> odd_ = [](const char*, std::string_view) {};
     core::Core* core_ = nullptr;
     std::map<SfuId, std::unique_ptr<Server>> servers_;
     std::map<SubId, Held> held_;
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -70,9 +70,6 @@
     if (!title || title->empty()) return no("no title");
     out.wish.title = TitleId{*title};
     if (!m.description) return no("no description");
-    const auto left = m.number("left");
-    if (!left || *left <= 0 || *left * 1000 > static_cast<double>(longest)) return no("no usable 'left'");
-    out.left = static_cast<Micros>(*left * 1000);
     if (m.opts.contains("hint")) {
         const auto hint = m.number("hint");
         if (!hint || *hint < 0 || *hint > kMostHint) return no("no usable 'hint'");
@@ -94,7 +91,11 @@
     if (const auto at = parts->find("at"); at != parts->end()) {
         out.playsAt = serverOf(at->second);
         if (!out.playsAt) return no("no usable 'at'");
+        return out;  // nobody waits for it: its 'left' says nothing
     }
+    const auto left = m.number("left");
+    if (!left || *left <= 0 || *left * 1000 > static_cast<double>(longest)) return no("no usable 'left'");
+    out.left = static_cast<Micros>(*left * 1000);
     return out;
 }
 
@@ -214,6 +215,7 @@
     const auto message = messageOf(line);
     if (!message) {
         ++counts_.unreadable;
+        odd_("a viewer's line can't be read", line.substr(0, 200));
         return drop(conn);
     }
     if (message->verb == "START") return setup(conn, *message);
@@ -227,7 +229,7 @@
         passed.cause = 1;
         conn.wire.say(lineOf(passed));
     } else if (message->verb != "FINISHED" && message->verb != "PENDING") {
-        return useless(conn, message->tag, "unknown verb");
+        return useless(conn, *message, "unknown verb");
     }
     if (conn.proven)
         while (!toTell_.empty() && !conn.wire.isClosed()) {
@@ -237,15 +239,17 @@
 }
 
 // Refused as unusable. Nothing of it reaches the core, and no media server is asked.
-void Viewers::useless(Conn& conn, const std::string& tag, const char*) {
+void Viewers::useless(Conn& conn, const Message& m, const char* why) {
     ++counts_.unusable;
+    odd_(why, lineOf(m));
+    const std::string& tag = m.tag;
     conn.wire.say(lineOf(finish(wellFormedTag(tag) ? tag : "", kUnusable)));
     // Whoever sends the same again as soon as it is turned away must not take up the core.
     if (++conn.useless >= kMostUseless) drop(conn);
 }
 
 void Viewers::setup(Conn& conn, const Message& m) {
-    if (!wellFormedTag(m.tag)) return useless(conn, m.tag, "no id");
+    if (!wellFormedTag(m.tag)) return useless(conn, m, "no id");
     const char* why = "";
     const auto request = requestOf(m, asked_, limits_.longestWait, why);
     const auto known = byTag_.find(m.tag);
@@ -262,7 +266,7 @@
         }
         return drop(conn);
     }
-    if (!request) return useless(conn, m.tag, why);
+    if (!request) return useless(conn, m, why);
     conn.proven = true;
     SetupWords words{m.tag, *m.text("class"), *m.text("key"), *m.description};
     if (request->playsAt) {
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -45,6 +46,8 @@
   public:
     Viewers(net::Net&, const net::Endpoint&, const ViewerLimits&, Asked);
     ~Viewers() override;
+    // What was odd, and what of a message shows it; for the log.
+    void onOdd(std::function<void(const char* what, std::string_view detail)> told) { odd_ = std::move(told); }
     void connect(core::Core& core, Servers& servers) {
         core_ = &core;
         servers_ = &servers;
@@ -76,7 +79,7 @@
     void heard(Conn&, std::string_view line);
     void setup(Conn&, const Message&);
     void ending(Conn&, const Message&);
-    void useless(Conn&, const std::string& tag, const char* why);
+    void useless(Conn&, const Message&, const char* why);
     void connGone(Conn&);
     void drop(Conn&);
     void tell(SubId, const Message&, bool release);
@@ -88,6 +91,7 @@
     net::Endpoint where_;
     ViewerLimits limits_;
     Asked asked_;
+    std::function<void(const char*, std::string_view)> odd_ = [](const char*, std::string_view) {};
     core::Core* core_ = nullptr;
     Servers* servers_ = nullptr;
     std::unique_ptr<net::Listener> listener_;
