--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -221,6 +221,8 @@
     tell([&] { decides_->listed(net_.now(), all, stale); });
 }
 void Core::listChanged(std::span<const ListedSfu> some) {
+    for (const ListedSfu& one : some)
+        if (one.standing == Standing::Off) figuresAt_.erase(one.id);
     tell([&] { decides_->listChanged(net_.now(), some); });
 }
 std::vector<Learnt> Core::learnt() const {
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -96,8 +96,8 @@
     // of it with begin(), which may call the face back before it returns: the face must know the id by then.
     std::optional<SubId> ask(Face&, Wish, Micros clientTimeout);
     void begin(SubId);
-    void left(SubId);                   // the viewer is gone; nothing more is said of it
-    void rungFetched(SubId, int rung);  // the first segment of a rung was asked for
+    void left(SubId);                             // the viewer is gone; nothing more is said of it
+    void rungFetched(SubId, int rung);            // the first segment of a rung was asked for
     void lost(SubId, JoinEnd, const Load& = {});  // its media server broke, or played it to its end
     // It plays already, and no answer is owed. Nothing if no more can be held.
     std::optional<SubId> handOver(Face&, const Wish&, SfuId);
--- a/src/node/changelog.cpp
+++ b/src/node/changelog.cpp
@@ -73,7 +73,8 @@
     const auto left = [&] { return held_.size() - from; };
     while (left() >= 4) {
         const std::uint64_t length = bigEndian(held_.data() + from, 4);
-        if (length < kHead || length > kHead + most_ * kRecord || (length - kHead) % kRecord != 0) return false;
+        if (length < kHead || length > kHead + most_ * kRecord || (length - kHead) % kRecord != 0)
+            return false;
         if (left() < 4 + length) break;
         const char* at = held_.data() + from + 4;
         ChangeEvent event;
@@ -84,11 +85,12 @@
         for (std::size_t record = kHead; record < length; record += kRecord) {
             const char* r = at + record;
             list::BoxLine line;
-            const auto state = bigEndian(r + 10, 1), zone = bigEndian(r + 11, 1), kindOf = bigEndian(r + 12, 1);
+            const auto state = bigEndian(r + 10, 1), zone = bigEndian(r + 11, 1),
+                       kindOf = bigEndian(r + 12, 1);
             if (state > 2 || zone >= std::max<std::size_t>(1, zones_) || kindOf >= kinds_) return false;
             line.sfu.id = SfuId{static_cast<std::uint32_t>(bigEndian(r, 4))};
-            line.at.ip = net::IpAddress(
-                boost::asio::ip::address_v4(static_cast<std::uint32_t>(bigEndian(r + 4, 4))));
+            line.at.ip =
+                net::IpAddress(boost::asio::ip::address_v4(static_cast<std::uint32_t>(bigEndian(r + 4, 4))));
             line.at.port = static_cast<std::uint16_t>(bigEndian(r + 8, 2));
             line.sfu.standing = state == 0 ? Standing::On : state == 1 ? Standing::Fading : Standing::Off;
             line.sfu.zone = ZoneId{static_cast<std::uint32_t>(zone)};
--- a/src/node/changelog.hpp
+++ b/src/node/changelog.hpp
@@ -47,7 +47,7 @@
   public:
     virtual ~ChangeLogUser() = default;
     virtual void changed(const ChangeEvent&) = 0;
-    virtual void current() = 0;                         // all that there was has been told
+    virtual void current() = 0;                            // all that there was has been told
     virtual void unreachable(const std::string& why) = 0;  // at the first failure after it was well
 };
 
--- a/src/node/message.hpp
+++ b/src/node/message.hpp
@@ -26,7 +26,7 @@
 // With the line's end. Texts are written as they were read.
 std::string lineOf(const Message&);
 
-bool wellFormedTag(std::string_view);                    // 16 hex digits
+bool wellFormedTag(std::string_view);                   // 16 hex digits
 std::optional<double> numberOf(std::string_view text);  // whole text, finite
 
 }  // namespace valekeel::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,9 +17,9 @@
 using setup::Json;
 
 constexpr Micros kStatusEvery = 5 * kSecond;
-constexpr Micros kAnswerMargin = 30'000;       // before a client timeout
-constexpr Micros kStopComing = 700'000;        // after SIGTERM requests come for so long
-constexpr Micros kLeastPlayOn = 3 * kSecond;   // a planned restart waits so long at least
+constexpr Micros kAnswerMargin = 30'000;      // before a client timeout
+constexpr Micros kStopComing = 700'000;       // after SIGTERM requests come for so long
+constexpr Micros kLeastPlayOn = 3 * kSecond;  // a planned restart waits so long at least
 
 net::Endpoint endpoint(const Json& object, const char* key, const std::string& where) {
     const std::string told = setup::text(object, key, where);
@@ -33,13 +33,14 @@
     std::set<std::string, std::less<>> names;
     for (const auto& [name, value] : all.items()) names.insert(name);
     const std::string near = settings::nearest(key, names);
-    setup::bad(file, std::string("'") + key + "' is missing" +
-                         (near.empty() ? "" : "; there is a '" + near + "'"));
+    setup::bad(file,
+               std::string("'") + key + "' is missing" + (near.empty() ? "" : "; there is a '" + near + "'"));
 }
 
 std::size_t descriptors(const Json& all, const std::string& file) {
     const auto told = setup::whole(partOf(all, "limits", file), "sockets", file + ": limits");
-    if (told < 64) setup::bad(file + ": limits", "'sockets' is " + std::to_string(told) + ", and 64 at least");
+    if (told < 64)
+        setup::bad(file + ": limits", "'sockets' is " + std::to_string(told) + ", and 64 at least");
     return static_cast<std::size_t>(std::min<std::int64_t>(told, 100'000));
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "record/log.hpp"
 #include "net/net.hpp"
+#include "record/log.hpp"
 #include "setup/values.hpp"
 
 namespace valekeel::node {
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -27,6 +27,14 @@
     return cause == 16 ? JoinEnd::Played : cause == 31 ? JoinEnd::Cancelled : JoinEnd::Reset;
 }
 
+std::string endOf(const std::string& tag) {
+    Message end;
+    end.verb = "FINISH";
+    end.tag = tag;
+    end.cause = 16;
+    return lineOf(end);
+}
+
 constexpr Micros kTidyEvery = 100'000;
 constexpr int kCut = 41;  // the cause of what was cut
 
@@ -93,8 +101,8 @@
     std::string tag;
     int joinNo = 0;
     bool stands = false, cut = false;
-    Micros since = 0;  // it stands; long ago for what was handed over
-    Link* link = nullptr;  // while it is out
+    Micros since = 0;        // it stands; long ago for what was handed over
+    Link* link = nullptr;    // while it is out
     std::uint64_t from = 0;  // where it begins on it
     Micros sentAt = 0;
     std::unique_ptr<net::Timer> late;
@@ -223,9 +231,9 @@
         outcome.why = nameOf(how);
         // What the kernel here never took can't have been read there.
         outcome.neverRan = taken <= held->second.from;
-        outcome.end = how == Gone::NoSocket  ? JoinEnd::NeverSent
-                      : outcome.neverRan ? JoinEnd::NoConnection
-                                         : JoinEnd::Reset;
+        outcome.end = how == Gone::NoSocket ? JoinEnd::NeverSent
+                      : outcome.neverRan    ? JoinEnd::NoConnection
+                                            : JoinEnd::Reset;
         ended(id, outcome);
     }
 }
@@ -267,11 +275,9 @@
         const auto it = held_.find(id);
         if (it == held_.end() || it->second.stands) return;
         const Held& late = it->second;
-        const bool never = late.link->wire.taken() <= late.from;
         // Nothing at all since it was sent: the connection may be a dead one.
         if (late.link->wire.heardAt() <= late.sentAt) late.link->doubted = true;
-        ended(id, {never ? JoinEnd::NoConnection : JoinEnd::TimedOut, never, net_.now() - late.sentAt, {},
-                   "timed out"});
+        giveUp(id, JoinEnd::TimedOut, "timed out");
     });
     held.late->after(timeOut);
     byTag_[held.tag] = id;
@@ -281,11 +287,24 @@
 
 void Servers::cancel(SubId id, int joinNo) {
     const auto it = held_.find(id);
-    if (it == held_.end() || it->second.stands || it->second.joinNo != joinNo) return;
-    const bool never = it->second.link->wire.taken() <= it->second.from;
-    // Unsent bytes would go out later all the same: it counts as sent, and release() follows it.
-    ended(id, {JoinEnd::Cancelled, never && it->second.link->wire.isClosed(), net_.now() - it->second.sentAt,
-               {}, "cancelled"});
+    if (it != held_.end() && !it->second.stands && it->second.joinNo == joinNo)
+        giveUp(id, JoinEnd::Cancelled, "called off");
+}
+
+// What lies here unsent would go out later, and run for nobody, or a second time for one that is sent again.
+// On a connection that does not stand yet, which this one was the only one to want, it is taken back with the
+// connection; else it counts as sent, and its end follows it on the same connection.
+void Servers::giveUp(SubId id, JoinEnd end, const char* why) {
+    const Held& held = held_.at(id);
+    Link& link = *held.link;
+    if (!link.wire.isOpen() && (end == JoinEnd::TimedOut || link.out.size() == 1)) {
+        link.wire.close();
+        return linkGone(link, Gone::NoConnect);
+    }
+    link.wire.say(endOf(held.tag));
+    endSaid_ = id;
+    ended(id, {end, false, net_.now() - held.sentAt, {}, why});
+    endSaid_ = {};
 }
 
 // The one end of a join. It is out of the tables before the core hears of it, which may send the next.
@@ -304,8 +323,8 @@
     const SetupWords* words = user_.wordsOf(id);
     Server* server = find(at);
     const auto it = held_.find(id);
-    const bool saidAlready = it != held_.end() && it->second.cut;
-    if (server && words && !saidAlready) sayEnd(*server, words->tag);
+    const bool saidAlready = it != held_.end() ? it->second.cut : endSaid_ == id;
+    if (server && words && !saidAlready) say(*server, endOf(words->tag));
     if (it != held_.end() && it->second.stands) forget(id);
 }
 
@@ -313,15 +332,7 @@
     const auto it = held_.find(id);
     if (it == held_.end() || !it->second.stands || it->second.cut) return;
     it->second.cut = true;
-    if (Server* server = find(it->second.at)) sayEnd(*server, it->second.tag);
-}
-
-void Servers::sayEnd(Server& server, const std::string& tag) {
-    Message end;
-    end.verb = "FINISH";
-    end.tag = tag;
-    end.cause = 16;
-    say(server, lineOf(end));
+    if (Server* server = find(it->second.at)) say(*server, endOf(it->second.tag));
 }
 
 void Servers::setRung(SubId id, int rung) {
@@ -441,9 +452,9 @@
 void Servers::look(Server& server) {
     const Micros now = net_.now();
     if (server.standing.empty() || now < server.lookAt) return;
-    const bool connecting =
-        std::any_of(server.links.begin(), server.links.end(),
-                    [](const auto& link) { return !link->wire.isOpen() && !link->wire.isClosed(); });
+    const bool connecting = std::any_of(server.links.begin(), server.links.end(), [](const auto& link) {
+        return !link->wire.isOpen() && !link->wire.isClosed();
+    });
     if (connecting) return;
     const bool silent = now - server.heardAt > limits_.silent;
     const bool none = std::none_of(server.links.begin(), server.links.end(),
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,16 +20,16 @@
 namespace valekeel::node {
 
 struct ServerLimits {
-    std::size_t links = 64;       // connections to all media servers together
+    std::size_t links = 64;        // connections to all media servers together
     std::size_t joinsOnLink = 32;  // at once on one connection
     Micros connectWithin = 250'000;
-    Micros idle = 15'000'000;        // a connection that nobody needs is closed after
-    Micros sureFor = 8'000'000;      // a paid join takes no connection that has been idle for longer
-    Micros silent = 4'000'000;       // a server with own subscriptions that says nothing is looked for
-    Micros lookAgain = 150'000;      // between two looks for it
-    int looks = 4;                   // that fail before what stood there is taken to be over
+    Micros idle = 15'000'000;         // a connection that nobody needs is closed after
+    Micros sureFor = 8'000'000;       // a paid join takes no connection that has been idle for longer
+    Micros silent = 4'000'000;        // a server with own subscriptions that says nothing is looked for
+    Micros lookAgain = 150'000;       // between two looks for it
+    int looks = 4;                    // that fail before what stood there is taken to be over
     std::size_t unsent = 256 * 1024;  // bytes, on one connection
-    Micros unfinished = 400'000;     // how long a line may stay unfinished
+    Micros unfinished = 400'000;      // how long a line may stay unfinished
 };
 
 // What of a set-up goes on unchanged.
@@ -46,8 +47,8 @@
 };
 
 struct ServerCounts {
-    std::uint64_t connects = 0, refused = 0, noConnect = 0, broken = 0, garbled = 0, unknown = 0, lookedFor = 0,
-                  foundGone = 0;
+    std::uint64_t connects = 0, refused = 0, noConnect = 0, broken = 0, garbled = 0, unknown = 0,
+                  lookedFor = 0, foundGone = 0;
 };
 
 class Servers final : public core::Sender {
@@ -55,7 +56,9 @@
     Servers(net::Net&, const ServerLimits&, ServersUser&);
     ~Servers() override;
     // What was odd, and what of a message shows it; for the log.
-    void onOdd(std::function<void(const char* what, std::string_view detail)> told) { odd_ = std::move(told); }
+    void onOdd(std::function<void(const char* what, std::string_view detail)> told) {
+        odd_ = std::move(told);
+    }
     void connect(core::Core& core) { core_ = &core; }
 
     // From the list. One that is off, or whose process is new, has lost what stood there.
@@ -64,10 +67,10 @@
     void startedAnew(SfuId, Micros launched);
     bool knows(SfuId at) const { return servers_.count(at) > 0; }
 
-    void handedOver(SubId, SfuId);       // it stands there already
-    void setRung(SubId, int rung);       // of what stands
-    void cut(SubId);                     // ends it there; over() tells when that is done
-    void forget(SubId);                  // nobody asks for it any more
+    void handedOver(SubId, SfuId);  // it stands there already
+    void setRung(SubId, int rung);  // of what stands
+    void cut(SubId);                // ends it there; over() tells when that is done
+    void forget(SubId);             // nobody asks for it any more
 
     void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) override;
     void cancel(SubId, int joinNo) override;
@@ -87,10 +90,10 @@
     Link* linkFor(Server&, bool sure, bool forJoin);
     Link* open(Server&);
     void say(Server&, const std::string& line);
-    void sayEnd(Server&, const std::string& tag);
     void heard(Link&, const Message&);
     void standingHeard(SubId, Held&, const Message&);
     void linkGone(Link&, Gone);
+    void giveUp(SubId, JoinEnd, const char* why);
     void ended(SubId, core::JoinOutcome);
     void endLater(SubId, int joinNo, core::JoinOutcome);
     void allOver(Server&, Micros before);
@@ -112,6 +115,7 @@
         core::JoinOutcome outcome;
     };
     std::deque<Later> later_;
+    std::optional<SubId> endSaid_;  // whose end has just been said, where it was out
     std::vector<std::unique_ptr<Link>> dead_;
     std::size_t openLinks_ = 0;
     ServerCounts counts_;
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -117,7 +117,7 @@
     Viewers& all;
     std::uint64_t key;
     Micros since;
-    bool proven = false;  // it has brought something of use
+    bool proven = false;   // it has brought something of use
     std::set<SubId> open;  // set-ups without an answer
     int useless = 0;
     std::size_t standing = 0;  // subscriptions that were set up on it
@@ -271,8 +271,9 @@
     SetupWords words{m.tag, *m.text("class"), *m.text("key"), *m.description};
     if (request->playsAt) {
         ++counts_.handedOver;
-        const auto id = servers_->knows(*request->playsAt) ? core_->handOver(*this, request->wish, *request->playsAt)
-                                                           : std::nullopt;
+        const auto id = servers_->knows(*request->playsAt)
+                            ? core_->handOver(*this, request->wish, *request->playsAt)
+                            : std::nullopt;
         if (!id) {  // what plays at a server that is gone is over
             conn.wire.say(lineOf(finish(m.tag, kCut)));
             return;
@@ -287,8 +288,8 @@
         return;
     }
     ++counts_.setups;
-    const auto id = conn.open.size() < limits_.openOnOne ? core_->ask(*this, request->wish, request->left)
-                                                         : std::nullopt;
+    const auto id =
+        conn.open.size() < limits_.openOnOne ? core_->ask(*this, request->wish, request->left) : std::nullopt;
     if (!id) {
         conn.wire.say(lineOf(finish(m.tag, kBusy)));
         return;
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -47,7 +47,9 @@
     Viewers(net::Net&, const net::Endpoint&, const ViewerLimits&, Asked);
     ~Viewers() override;
     // What was odd, and what of a message shows it; for the log.
-    void onOdd(std::function<void(const char* what, std::string_view detail)> told) { odd_ = std::move(told); }
+    void onOdd(std::function<void(const char* what, std::string_view detail)> told) {
+        odd_ = std::move(told);
+    }
     void connect(core::Core& core, Servers& servers) {
         core_ = &core;
         servers_ = &servers;
--- a/src/node/wire.hpp
+++ b/src/node/wire.hpp
@@ -36,8 +36,8 @@
         std::size_t line, unsent;
         Micros unfinished;  // how long a line may stay unfinished
     };
-    Wire(net::Net&, std::unique_ptr<net::Stream>, const Limits&, WireUser&);                     // accepted
-    Wire(net::Net&, const net::Endpoint&, Micros connectWithin, const Limits&, WireUser&);      // connects
+    Wire(net::Net&, std::unique_ptr<net::Stream>, const Limits&, WireUser&);                // accepted
+    Wire(net::Net&, const net::Endpoint&, Micros connectWithin, const Limits&, WireUser&);  // connects
     ~Wire() override;
 
     // Gives the place in the stream at which it begins; what is said after close() is lost.
--- a/src/setup/setup.cpp
+++ b/src/setup/setup.cpp
@@ -62,8 +62,7 @@
     fleet.sizesTold = weights == "nominal" || weights == "rough";
     for (double places : numbers(video, "places_by_kind", where))
         fleet.places.push_back(static_cast<int>(places));
-    if (fleet.places.size() != names.kinds.size())
-        bad(where, "'places_by_kind' does not match 'host_types'");
+    if (fleet.places.size() != names.kinds.size()) bad(where, "'places_by_kind' does not match 'host_types'");
     if (find(setup, "zone")) fleet.zone = ZoneId{placeOf(names.zones, text(setup, "zone", where), where)};
     return fleet;
 }
--- a/src/setup/setup.hpp
+++ b/src/setup/setup.hpp
@@ -34,11 +34,10 @@
     const Names names = namesOf(setup, where);
     const Ladder ladder = ladderOf(setup, where);
     const std::optional<JoinBudget> budget = budgetOf(setup, where);
-    return std::make_unique<Decider>(host, now, seed, smallInt(setup, "balancers", where), ladder,
-                                     roomTypesOf(setup, ladder, where), fleetOf(setup, names, where),
-                                     coldOf(setup, where), budget ? &*budget : nullptr,
-                                     tidingsOf(setup, where), allowedOf(setup, where),
-                                     pricesOf(setup, where));
+    return std::make_unique<Decider>(
+        host, now, seed, smallInt(setup, "balancers", where), ladder, roomTypesOf(setup, ladder, where),
+        fleetOf(setup, names, where), coldOf(setup, where), budget ? &*budget : nullptr,
+        tidingsOf(setup, where), allowedOf(setup, where), pricesOf(setup, where));
 }
 
 }  // namespace valekeel::setup
--- /dev/null
+++ b/src/standins/platform.cpp
@@ -0,0 +1,213 @@
+#include "standins/platform.hpp"
+
+#include <array>
+
+namespace valekeel::standins {
+
+using Json = nlohmann::json;
+
+// ================= lines =================
+
+PlatformLine::PlatformLine(std::unique_ptr<net::Stream> stream, Heard heard)
+    : heard_(std::move(heard)), ready_(true), stream_(std::move(stream)) {
+    stream_->handTo(*this);
+}
+PlatformLine::PlatformLine(net::Net& net, const net::Endpoint& to, Heard heard)
+    : heard_(std::move(heard)), ready_(false), stream_(net.connect(to, *this)) {}
+
+void PlatformLine::connected() {
+    ready_ = true;
+    std::string all;
+    all.swap(out_);
+    bytes(all);
+}
+void PlatformLine::bytes(const std::string& all) {
+    if (ended_) return;
+    if (!ready_)
+        out_ += all;
+    else if (!all.empty())
+        stream_->write(all);
+}
+void PlatformLine::close(bool hard) {
+    if (hard && !ended_) stream_->reset();
+    ended_ = true;
+    ready_ = false;
+    stream_.reset();
+}
+void PlatformLine::readable() {
+    std::array<char, 4096> buffer;
+    while (!ended_ && ready_) {
+        const net::Moved got = stream_->read(buffer);
+        if (got.then == net::Moved::Then::Again) return;
+        if (got.then != net::Moved::Then::More) return close(false);
+        in_.append(buffer.data(), got.bytes);
+        for (auto end = in_.find('\n'); end != std::string::npos; end = in_.find('\n')) {
+            const Json message = Json::parse(in_.substr(0, end), nullptr, false);
+            in_.erase(0, end + 1);
+            if (message.is_object()) heard_(*this, message);
+            if (ended_) return;
+        }
+    }
+}
+
+// ================= media servers =================
+
+PlatformServer::PlatformServer(net::Net& net, const net::Endpoint& at)
+    : net_(net), listener_(net.listen(at, *this)) {}
+
+void PlatformServer::accepted(std::unique_ptr<net::Stream> stream) {
+    lines_.push_back(std::make_unique<PlatformLine>(
+        std::move(stream), [this](PlatformLine& line, const Json& message) { heard(line, message); }));
+}
+
+void PlatformServer::start(PlatformLine& line, const std::string& tag) {
+    standing.insert(tag);
+    by_[tag] = &line;
+    line.say({{"verb", "STARTED"}, {"tag", tag}, {"opts", Json::object()}, {"blob", "words of " + tag}});
+}
+
+void PlatformServer::heard(PlatformLine& line, const Json& message) {
+    const std::string verb = message.at("verb"), tag = message.at("tag");
+    if (verb == "ECHO") ++tests;
+    if (verb == "RATE") rungs.emplace_back(tag, std::stoi(message.at("opts").at("rung").get<std::string>()));
+    if (verb == "FINISH") {
+        ++cuts;
+        if (standing.erase(tag))
+            line.say({{"verb", "FINISH"}, {"tag", tag}, {"opts", Json::object()}, {"rc", 31}});
+    }
+    if (verb != "START") return;
+    const Json& opts = message.at("opts");
+    setups.push_back({tag, opts.at("key"), opts.at("class"), message.at("blob"), net_.now(),
+                      std::stoi(opts.value("rung", "0"))});
+    const auto refuse = [&](int cause) {
+        line.say({{"verb", "FINISH"}, {"tag", tag}, {"opts", {{"load", "x0:0.5"}}}, {"rc", cause}});
+    };
+    switch (does(tag)) {
+        case Does::Plays:
+            return start(line, tag);
+        case Does::Full:
+            return refuse(34);
+        case Does::Errs:
+            return refuse(47);
+        case Does::Resets:
+            return line.close(true);
+        case Does::Nothing:
+            return;
+        case Does::Noise:
+            standing.insert(tag);
+            return line.bytes("\x01\xff{noise\n");
+        case Does::Unfinished:
+            standing.insert(tag);
+            return line.bytes("{\"verb\":\"STARTED\",\"tag\":\"" + tag);
+        case Does::PlaysTwice:
+            start(line, tag);
+            return start(line, tag);
+        case Does::UnknownFirst:
+            line.say(
+                {{"verb", "STARTED"}, {"tag", "00000000deadbeef"}, {"opts", Json::object()}, {"blob", "x"}});
+            return start(line, tag);
+        case Does::NoWords:
+            standing.insert(tag);
+            return line.say({{"verb", "STARTED"}, {"tag", tag}, {"opts", Json::object()}});
+    }
+}
+
+// On the connection of the set-up, otherwise on any that stands.
+PlatformLine* PlatformServer::lineOf(const std::string& tag) {
+    const auto it = by_.find(tag);
+    if (it != by_.end() && !it->second->ended()) return it->second;
+    for (const auto& line : lines_)
+        if (!line->ended()) return line.get();
+    return nullptr;
+}
+void PlatformServer::end(const std::string& tag, int cause) {
+    standing.erase(tag);
+    if (PlatformLine* line = lineOf(tag))
+        line->say({{"verb", "FINISH"}, {"tag", tag}, {"opts", {{"load", "x0:0.5"}}}, {"rc", cause}});
+}
+void PlatformServer::note(const std::string& tag, const std::string& kind, double value) {
+    if (PlatformLine* line = lineOf(tag))
+        line->say({{"verb", "NOTICE"}, {"tag", tag}, {"opts", {{"note", kind}, {"value", value}}}});
+}
+void PlatformServer::resetAll() {
+    for (const auto& line : lines_) line->close(true);
+}
+void PlatformServer::die() {
+    listener_.reset();
+    standing.clear();
+    resetAll();
+}
+
+// ================= the change log =================
+
+PlatformLog::PlatformLog(net::Net& net, const net::Endpoint& at)
+    : net_(net), listener_(net.listen(at, *this)), beat_(net, [this] { beat(); }) {}
+
+std::string PlatformLog::frame(std::uint64_t number, int kind, const std::vector<Box>& boxes) {
+    std::string body;
+    const auto put = [](std::string& to, std::uint64_t value, int bytes) {
+        for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+            to += static_cast<char>(value >> shift & 0xff);
+    };
+    put(body, number, 8);
+    put(body, static_cast<std::uint64_t>(kind), 1);
+    for (const Box& box : boxes) {
+        put(body, box.id, 4);
+        put(body, box.at.ip.to_v4().to_uint(), 4);
+        put(body, box.at.port, 2);
+        put(body, static_cast<std::uint64_t>(box.state), 1);
+        put(body, 0, 2);  // zone, kind
+        put(body, static_cast<std::uint64_t>(box.cell), 2);
+        put(body, 1000, 4);
+        put(body, box.startedMs, 8);
+    }
+    std::string all;
+    put(all, body.size(), 4);
+    return all + body;
+}
+
+void PlatformLog::accepted(std::unique_ptr<net::Stream> stream) {
+    stream_ = std::move(stream);
+    stream_->handTo(*this);
+    in_.clear();
+    following_ = false;
+}
+
+void PlatformLog::readable() {
+    std::array<char, 64> buffer;
+    while (stream_) {
+        const net::Moved got = stream_->read(buffer);
+        if (got.then == net::Moved::Then::Again) return;
+        if (got.then != net::Moved::Then::More) return stream_.reset();
+        in_.append(buffer.data(), got.bytes);
+        if (in_.size() < 8 || following_) continue;
+        std::uint64_t from = 0;
+        for (int i = 0; i < 8; ++i)
+            from = from << 8 | static_cast<unsigned char>(in_[static_cast<std::size_t>(i)]);
+        asked.push_back(from);
+        following_ = true;
+        for (const auto& [number, bytesOf] : events_)
+            if (number > from && !silent) bytes(bytesOf);
+        beat();
+    }
+}
+
+void PlatformLog::beat() {
+    beat_.after(kSecond);
+    if (following_ && !silent) bytes(frame(last, 0, {}));
+}
+void PlatformLog::add(const std::vector<Box>& boxes) {
+    events_[++last] = frame(last, 2, boxes);
+    if (!following_ || silent) return;
+    bytes(events_[last]);
+    if (twice) bytes(events_[last]);
+}
+void PlatformLog::bytes(const std::string& all) {
+    if (stream_) stream_->write(all);
+}
+void PlatformLog::breakOff() {
+    stream_.reset();
+    following_ = false;
+}
+
+}  // namespace valekeel::standins
--- /dev/null
+++ b/src/standins/platform.hpp
@@ -0,0 +1,107 @@
+// Stand-ins for what a front node of the platform speaks to: media servers, the change log, and one
+// connection of viewers. Written from the protocol's page alone: they share no code with the front's side of
+// it, and keep a ledger of what crossed their sockets.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/net.hpp"
+
+namespace valekeel::standins {
+
+// One connection, cut into lines.
+class PlatformLine final : public net::StreamUser {
+  public:
+    using Heard = std::function<void(PlatformLine&, const nlohmann::json&)>;
+    PlatformLine(std::unique_ptr<net::Stream>, Heard);     // accepted
+    PlatformLine(net::Net&, const net::Endpoint&, Heard);  // connects
+    void say(const nlohmann::json& message) { bytes(message.dump() + "\n"); }
+    void bytes(const std::string&);
+    void close(bool hard);
+    bool ended() const { return ended_; }
+
+  private:
+    void connected() override;
+    void connectFailed(net::NoStream) override { ended_ = true; }
+    void readable() override;
+    void writable() override {}
+    Heard heard_;
+    std::string in_, out_;
+    bool ready_, ended_ = false;
+    std::unique_ptr<net::Stream> stream_;
+};
+
+// What a media server does with a set-up.
+enum class Does { Plays, Full, Errs, Resets, Nothing, Noise, Unfinished, PlaysTwice, UnknownFirst, NoWords };
+
+class PlatformServer final : private net::ListenerUser {
+  public:
+    PlatformServer(net::Net&, const net::Endpoint&);
+    net::Endpoint at() const { return listener_->at(); }
+    std::function<Does(const std::string& tag)> does = [](const std::string&) { return Does::Plays; };
+    void end(const std::string& tag, int cause);
+    void note(const std::string& tag, const std::string& kind, double value);
+    void resetAll();  // its connections; what stands goes on
+    void die();       // refuses from then on; all that stood is cut
+
+    struct Setup {
+        std::string tag, title, room, words;
+        Micros at;
+        int rung;
+    };
+    std::vector<Setup> setups;  // all that arrived whole
+    std::set<std::string> standing;
+    std::vector<std::pair<std::string, int>> rungs;
+    int cuts = 0, tests = 0;
+
+  private:
+    void accepted(std::unique_ptr<net::Stream>) override;
+    void heard(PlatformLine&, const nlohmann::json&);
+    void start(PlatformLine&, const std::string& tag);
+    PlatformLine* lineOf(const std::string& tag);
+    net::Net& net_;
+    std::unique_ptr<net::Listener> listener_;
+    std::vector<std::unique_ptr<PlatformLine>> lines_;
+    std::map<std::string, PlatformLine*> by_;
+};
+
+// Events as frames; `asked` holds the numbers that it was asked from.
+class PlatformLog final : private net::ListenerUser, private net::StreamUser {
+  public:
+    PlatformLog(net::Net&, const net::Endpoint&);
+    net::Endpoint at() const { return listener_->at(); }
+    struct Box {
+        std::uint32_t id;
+        net::Endpoint at;
+        int state = 0, cell = 0;
+        std::uint64_t startedMs = 0;
+    };
+    void add(const std::vector<Box>&);  // the next event, of changes; told at once
+    static std::string frame(std::uint64_t number, int kind, const std::vector<Box>&);
+    void bytes(const std::string&);  // as they are, on the connection that stands
+    void breakOff();
+    std::uint64_t last = 0;
+    bool silent = false, twice = false;
+    std::vector<std::uint64_t> asked;
+
+  private:
+    void accepted(std::unique_ptr<net::Stream>) override;
+    void readable() override;
+    void writable() override {}
+    void beat();
+    net::Net& net_;
+    std::unique_ptr<net::Listener> listener_;
+    std::unique_ptr<net::Stream> stream_;
+    std::string in_;
+    bool following_ = false;
+    std::map<std::uint64_t, std::string> events_;
+    net::Timer beat_;
+};
+
+}  // namespace valekeel::standins
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,611 @@
+// The front node on the platform's protocol: its parts by hand, and the whole of it between stand-ins, on a
+// virtual clock and once on loopback sockets. The rules are judged from the stand-ins' ledgers.
+#include "node/node.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/core.hpp"
+#include "loop.hpp"
+#include "net/virtual.hpp"
+#include "node/changelog.hpp"
+#include "node/message.hpp"
+#include "standins/platform.hpp"
+
+namespace valekeel {
+namespace {
+
+using Json = nlohmann::json;
+using standins::Does;
+
+// ================= parts =================
+
+TEST(NodeMessage, ReadsWhatItWritesAndRefusesTheRest) {
+    node::Message m;
+    m.verb = "START";
+    m.tag = "9b1f03aa5c7e2d41";
+    m.opts = {{"left", "1500"}, {"rung", 2}, {"odd", "1e400"}, {"words", "12x"}};
+    m.cause = 34;
+    m.description = "c=IN\r\n\"\\ é";
+    const std::string line = node::lineOf(m);
+    const auto back = node::messageOf(line.substr(0, line.size() - 1));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->description, m.description);
+    EXPECT_EQ(back->cause, 34);
+    EXPECT_EQ(back->number("left"), 1500);
+    EXPECT_EQ(back->number("rung"), 2);
+    for (const char* none : {"odd", "words", "absent"}) EXPECT_FALSE(back->number(none)) << none;
+    for (const char* bad :
+         {"", "{", "[]", "17", "{}", R"({"verb":7})", R"({"verb":"A","opts":[]})",
+          R"({"verb":"A","opts":{"x":{}}})", R"({"verb":"A","rc":"x"})", R"({"verb":"A","rc":-1})",
+          R"({"verb":"A","rc":1e99})", R"({"verb":"A","blob":3})", "{\"verb\":\"A\",\"tag\":\"\xff\"}"})
+        EXPECT_FALSE(node::messageOf(bad)) << bad;
+    EXPECT_TRUE(node::wellFormedTag("9b1f03aa5c7e2d41"));
+    for (const char* bad : {"", "9b1f03aa5c7e2d4", "9b1f03aa5c7e2d4g", "9b1f03aa5c7e2d411"})
+        EXPECT_FALSE(node::wellFormedTag(bad)) << bad;
+}
+
+// However the bytes are cut, the frames that come out are those that went in.
+TEST(NodeFrames, CutAnywhereTheyAreTheSame) {
+    std::mt19937 chance(7);
+    for (int round = 0; round < 200; ++round) {
+        std::string bytes;
+        std::vector<std::pair<std::uint64_t, std::size_t>> put, got;
+        for (unsigned i = 0; i < 5; ++i) {
+            std::vector<standins::PlatformLog::Box> boxes(chance() % 4);
+            for (auto& box : boxes)
+                box = {chance() % 1000, *net::endpointOf("127.0.0.1:9"), static_cast<int>(chance() % 3)};
+            const int kind = boxes.empty() ? 0 : 1 + static_cast<int>(chance() % 2);
+            bytes += standins::PlatformLog::frame(i + 1, kind, boxes);
+            put.emplace_back(i + 1, boxes.size());
+        }
+        node::FrameReader reader(1, 1, 100);
+        for (std::size_t from = 0; from < bytes.size();) {
+            const std::size_t n = std::min<std::size_t>(1 + chance() % 40, bytes.size() - from);
+            ASSERT_TRUE(reader.feed(
+                std::string_view(bytes).substr(from, n),
+                [&](const node::ChangeEvent& e, bool) { got.emplace_back(e.number, e.boxes.size()); }));
+            from += n;
+        }
+        EXPECT_EQ(put, got);
+    }
+    const auto ignore = [](const node::ChangeEvent&, bool) {};
+    const std::string endless(
+        "\xff\xff\xff\xff"
+        "12345678",
+        12),
+        odd("\0\0\0\x0c"
+            "123456789012",
+            16);
+    EXPECT_FALSE(node::FrameReader(1, 1, 100).feed(endless, ignore));
+    EXPECT_FALSE(node::FrameReader(1, 1, 100).feed(odd, ignore));
+    std::string unknownKind = standins::PlatformLog::frame(1, 7, {});
+    EXPECT_FALSE(node::FrameReader(1, 1, 100).feed(unknownKind, ignore));
+}
+
+// ================= the whole =================
+
+Json settings() {
+    return Json::parse(R"({"balancers":2,"host_types":["k"],"zones":["z"],"zone":"z","weights":"nominal",
+      "allowed":{"attempts_cap":3,"max_retry_after":0.5,"retry_after":true,"max_streams":32,
+        "connect_timeout":0.25,"conn_idle":30},
+      "request_classes":[
+        {"name":"talk","promise":1.5,"deadline":3,"idempotency":"pure","importance":1},
+        {"name":"paid","promise":0.8,"deadline":3,"idempotency":"side_effect","importance":3}],
+      "rules":{"cold":10.0,"start_capacity":0.4,"fall_multiple":2.0,"tip_after":1.5,"spare_attempts":5,
+        "resend_ratio":0.1,"look_back":10},
+      "specifics":{"cells":3,"racks":1,"ladder_kb":[100,300,900],"ladder_worth":[0.3,0.7,1],
+        "rate_factor":[1,1],"lowest_rung":[0,0],"highest_rung":[2,2],"licence_cap":[0,2],"links_kb":60000,
+        "rack_link_kb":60000,"places_by_kind":[200],"weight_kb":20000,"stall":8,"switch_cost_s":0.5,
+        "told_late":1,"told_every":2}})");
+}
+
+std::string idOf(int n) {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016x", n);
+    return text;
+}
+
+template <class Machines>
+struct Day : Machines {
+    std::vector<std::unique_ptr<standins::PlatformServer>> servers;
+    std::unique_ptr<standins::PlatformLog> log;
+    record::Log record{"", record::Level::Error, 1};
+    std::unique_ptr<node::Node> front;
+    std::unique_ptr<standins::PlatformLine> viewers;
+    std::map<std::string, std::vector<Json>> heard;
+
+    explicit Day(int count = 3) {
+        for (int i = 0; i < count; ++i)
+            servers.push_back(std::make_unique<standins::PlatformServer>(this->machine(i), this->place(i)));
+        log = std::make_unique<standins::PlatformLog>(this->machine(10), this->place(10));
+        log->last = 1;
+        front = std::make_unique<node::Node>(this->machine(11), "config.json", configuration(), record);
+        viewers = line();
+        this->run(50'000);
+    }
+    std::string configuration() {
+        Json boxes = Json::array();
+        for (std::size_t i = 0; i < servers.size(); ++i)
+            boxes.push_back({{"instanceId", "s-0000000" + std::to_string(i)},
+                             {"hostPort", net::text(servers[i]->at())},
+                             {"zone", "z"},
+                             {"machineType", "k"},
+                             {"cell", i},
+                             {"lifecycle", "active"},
+                             {"weight", 1},
+                             {"startedAtMs", 0}});
+        return Json{
+            {"name", "n0"},
+            {"listen", net::text(this->place(11))},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
+            {"changelog", net::text(log->at())},
+            {"known",
+             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
+            {"settings", settings()}}
+            .dump();
+    }
+    std::unique_ptr<standins::PlatformLine> line() {
+        return std::make_unique<standins::PlatformLine>(
+            this->machine(12), front->at(),
+            [this](standins::PlatformLine&, const Json& m) { heard[m.value("tag", "")].push_back(m); });
+    }
+    static Json start(int n, const std::string& room = "talk", const std::string& title = "t") {
+        return {{"verb", "START"},
+                {"tag", idOf(n)},
+                {"opts",
+                 {{"class", room}, {"left", "3000"}, {"key", title}, {"extras", "home:0;copies:3;top:2"}}},
+                {"blob", "offer"}};
+    }
+    void ask(int n, const std::string& room = "talk", const std::string& title = "t") {
+        viewers->say(start(n, room, title));
+    }
+    void end(int n) {
+        viewers->say({{"verb", "FINISH"}, {"tag", idOf(n)}, {"opts", Json::object()}, {"rc", 16}});
+    }
+    // What was said of it: "+" that it plays, a cause of a release, in order.
+    std::string said(int n) {
+        std::string out;
+        for (const Json& m : heard[idOf(n)])
+            out += (out.empty() ? "" : " ") +
+                   (m["verb"] == "STARTED" ? std::string("+") : std::to_string(m.value("rc", 0)));
+        return out;
+    }
+    standins::PlatformServer* playerOf(int n) {
+        for (const auto& s : servers)
+            if (s->standing.count(idOf(n))) return s.get();
+        return nullptr;
+    }
+    int setupsOf(int n) {
+        int count = 0;
+        for (const auto& s : servers)
+            for (const auto& one : s->setups) count += one.tag == idOf(n);
+        return count;
+    }
+};
+
+struct Virtual {
+    net::VirtualWorld world{5};
+    std::map<int, net::VirtualNode*> nodes;
+    net::Net& machine(int n) {
+        auto& node = nodes[n];
+        if (!node) node = &world.node("m" + std::to_string(n), place(n).ip);
+        return *node;
+    }
+    static net::Endpoint place(int n) {
+        return *net::endpointOf("10.0.0." + std::to_string(n + 1) + ":5060");
+    }
+    void run(Micros time) { world.runUntil(world.now() + time); }
+};
+using VirtualDay = Day<Virtual>;
+
+TEST(Node, PassesATestAndServes) {
+    VirtualDay day;
+    day.viewers->say({{"verb", "ECHO"}, {"tag", idOf(9)}, {"opts", Json::object()}, {"rc", 0}});
+    for (int n = 1; n <= 20; ++n) day.ask(n, n % 2 ? "talk" : "paid", "t" + std::to_string(n));
+    day.run(kSecond);
+    EXPECT_EQ(day.said(9), "1");
+    for (int n = 1; n <= 20; ++n) {
+        EXPECT_EQ(day.said(n), "+");
+        EXPECT_EQ(day.heard[idOf(n)][0]["blob"], "words of " + idOf(n));
+        EXPECT_EQ(day.setupsOf(n), 1);
+    }
+    for (const auto& s : day.servers) {
+        EXPECT_EQ(s->tests, 0);  // sites may forbid them
+        for (const auto& one : s->setups) EXPECT_EQ(one.words, "offer");
+    }
+    day.playerOf(1)->end(idOf(1), 16);
+    day.playerOf(2)->end(idOf(2), 41);
+    standins::PlatformServer* third = day.playerOf(3);
+    day.end(3);
+    day.run(kSecond);
+    EXPECT_EQ(day.said(1), "+ 16");
+    EXPECT_EQ(day.said(2), "+ 41");
+    EXPECT_EQ(day.said(3), "+");  // it left by itself: nothing is owed
+    EXPECT_EQ(third->standing.count(idOf(3)), 0u);
+    EXPECT_EQ(third->cuts, 1);  // one end for one subscription
+}
+
+// What a media server does to a set-up, and what becomes of a free and of a paid one. Nothing that may have
+// run is set up twice if it is paid; whatever stands nowhere in the end was cut.
+TEST(Node, ABadAnswerCostsNoMoreThanItsOwnSetup) {
+    struct Case {
+        Does does;
+        const char *free, *paid;
+        bool paidAgain;
+    };
+    for (const Case& c :
+         {Case{Does::Full, "+", "+", true}, Case{Does::Errs, "+", "41", false},
+          Case{Does::Resets, "+", "41", false}, Case{Does::Noise, "+", "41", false},
+          Case{Does::Unfinished, "+", "41", false}, Case{Does::NoWords, "+", "41", false},
+          Case{Does::PlaysTwice, "+", "+", false}, Case{Does::UnknownFirst, "+", "+", false}}) {
+        VirtualDay day;
+        int bad = 0;
+        for (const auto& s : day.servers)
+            s->does = [&](const std::string&) { return bad++ == 0 ? c.does : Does::Plays; };
+        day.ask(1, "talk", "a");
+        day.run(2 * kSecond);
+        EXPECT_EQ(day.said(1), c.free) << static_cast<int>(c.does);
+        bad = 0;
+        day.ask(2, "paid", "b");
+        day.run(2 * kSecond);
+        EXPECT_EQ(day.said(2), c.paid) << static_cast<int>(c.does);
+        EXPECT_EQ(day.setupsOf(2), c.paidAgain ? 2 : 1) << static_cast<int>(c.does);
+        std::size_t standing = 0;
+        for (const auto& s : day.servers) standing += s->standing.size();
+        EXPECT_EQ(standing, std::string(c.paid) == "+" ? 2u : 1u) << static_cast<int>(c.does);
+    }
+}
+
+// Guards against one garbled answer that takes what stands behind the same connection with it.
+TEST(Node, WhatStandsOutlivesItsConnection) {
+    VirtualDay day(1);
+    day.ask(1);
+    day.run(kSecond);
+    day.servers[0]->resetAll();
+    day.run(kSecond);
+    EXPECT_EQ(day.said(1), "+");
+    day.servers[0]->end(idOf(1), 16);  // on the connection that was opened since
+    day.run(kSecond);
+    EXPECT_EQ(day.said(1), "+ 16");
+}
+
+TEST(Node, TheViewersOfADeadServerHearOfItWithinASecond) {
+    VirtualDay day(1);
+    day.ask(1);
+    day.run(kSecond);
+    day.servers[0]->die();
+    day.run(kSecond);
+    EXPECT_EQ(day.said(1), "+ 41");
+}
+
+TEST(Node, AVanishedServerIsFoundWithinEightSeconds) {
+    VirtualDay day(1);
+    day.ask(1);
+    day.run(kSecond);
+    day.nodes[0]->standStill();
+    day.run(2 * kSecond);
+    EXPECT_EQ(day.said(1), "+");  // a pause is no loss
+    day.run(6 * kSecond);
+    EXPECT_EQ(day.said(1), "+ 41");
+}
+
+// One that is merely quiet is asked for a connection, and goes on.
+TEST(Node, AQuietServerKeepsWhatItPlays) {
+    VirtualDay day(1);
+    day.ask(1);
+    day.run(40 * kSecond);
+    EXPECT_EQ(day.said(1), "+");
+    EXPECT_EQ(day.servers[0]->standing.size(), 1u);
+}
+
+TEST(Node, AReleaseFindsItsViewerOnAnotherConnection) {
+    VirtualDay day(1);
+    day.ask(1);
+    day.run(kSecond);
+    day.viewers->close(true);
+    day.run(100'000);
+    day.servers[0]->end(idOf(1), 16);
+    day.run(500'000);
+    day.viewers = day.line();
+    day.viewers->say({{"verb", "ECHO"}, {"tag", idOf(9)}, {"opts", Json::object()}});
+    day.run(500'000);
+    EXPECT_EQ(day.said(1), "+ 16");
+}
+
+// A viewer that stops waiting is owed nothing, and leaves nothing behind.
+TEST(Node, WhatIsGivenUpIsCalledOff) {
+    VirtualDay day(1);
+    day.servers[0]->does = [](const std::string&) { return Does::Nothing; };
+    day.ask(1);
+    day.run(200'000);
+    day.end(1);
+    day.run(kSecond);
+    EXPECT_EQ(day.said(1), "");
+    EXPECT_EQ(day.servers[0]->cuts, 1);
+}
+
+// Each line of these is refused or its connection closed within 3 s, nothing reaches a media server, and the
+// usual viewer beside them plays.
+TEST(Node, WhatCannotBeUsedIsTurnedAwayAndCostsOthersNothing) {
+    VirtualDay day;
+    const auto with = [](const char* key, const Json& value) {
+        Json m = VirtualDay::start(77);
+        if (value.is_null())
+            m["opts"].erase(key);
+        else
+            m["opts"][key] = value;
+        return m.dump() + "\n";
+    };
+    Json noTag = VirtualDay::start(77), shortTag = noTag, noWords = noTag;
+    noTag.erase("tag");
+    shortTag["tag"] = "12";
+    noWords.erase("blob");
+    std::vector<std::string> bad = {
+        "noise\n",
+        std::string(20'000, 'x'),
+        "{\"verb\":\"START\"",
+        "",
+        "\n",
+        std::string(9'000, '[') + "\n",
+        with("class", "unheard"),
+        with("class", 3),
+        with("class", nullptr),
+        with("left", "-5"),
+        with("left", "0"),
+        with("left", "soon"),
+        with("left", "1e300"),
+        with("left", "nan"),
+        with("hint", "inf"),
+        with("hint", "-1"),
+        with("extras", "home:-1;copies:3;top:2"),
+        with("extras", "home:0;copies:99;top:2"),
+        with("extras", "home:0;copies:3;top:x"),
+        with("extras", "x"),
+        with("extras", nullptr),
+        with("key", nullptr),
+        with("key", ""),
+        noTag.dump() + "\n",
+        shortTag.dump() + "\n",
+        noWords.dump() + "\n",
+        VirtualDay::start(77).dump() + "\n" + VirtualDay::start(77, "talk", "u").dump() + "\n"};
+    std::vector<std::unique_ptr<standins::PlatformLine>> callers;
+    int answered = 0;
+    for (const std::string& bytes : bad) {
+        callers.push_back(std::make_unique<standins::PlatformLine>(
+            day.machine(13), day.front->at(), [&](standins::PlatformLine&, const Json& m) {
+                EXPECT_NE(m["verb"], "STARTED");
+                ++answered;
+            }));
+        callers.back()->bytes(bytes);
+    }
+    day.ask(1);
+    day.run(2'900'000);
+    EXPECT_EQ(day.said(1), "+");
+    for (std::size_t i = 0; i < callers.size(); ++i)
+        EXPECT_TRUE(callers[i]->ended()) << bad[i].substr(0, 200);
+    EXPECT_GT(answered, 15);
+    EXPECT_EQ(day.setupsOf(77), 0);
+}
+
+// Guards against connects that say nothing and keep out those that ask.
+TEST(Node, SilentConnectsKeepNobodyOut) {
+    VirtualDay day;
+    std::vector<std::unique_ptr<standins::PlatformLine>> silent;
+    for (int i = 0; i < 400; ++i)
+        silent.push_back(std::make_unique<standins::PlatformLine>(day.machine(13), day.front->at(),
+                                                                  [](auto&, const Json&) {}));
+    day.run(100'000);
+    day.viewers = day.line();
+    day.ask(1);
+    day.run(500'000);
+    EXPECT_EQ(day.said(1), "+");
+}
+
+TEST(Node, IdOfAnOpenSetupEndsItForNobodyElse) {
+    VirtualDay day;
+    day.ask(1);
+    const auto other = day.line();
+    other->say(VirtualDay::start(1, "talk", "another"));
+    day.run(kSecond);
+    EXPECT_TRUE(other->ended());
+    EXPECT_EQ(day.said(1), "+");
+    EXPECT_EQ(day.setupsOf(1), 1);
+}
+
+TEST(Node, WhatIsHandedOverIsHeldWhateverWaitItNames) {
+    VirtualDay day;
+    Json m = VirtualDay::start(1);
+    m["opts"]["left"] = "4294967";
+    m["opts"]["extras"] = "home:0;copies:3;top:2;at:s-00000001";
+    day.viewers->say(m);
+    day.viewers->say(m);  // told again: held already
+    Json gone = m;
+    gone["tag"] = idOf(2);
+    gone["opts"]["extras"] = "home:0;copies:3;top:2;at:s-0000000f";
+    day.viewers->say(gone);
+    day.run(500'000);
+    EXPECT_EQ(day.said(1), "");
+    EXPECT_EQ(day.said(2), "41");  // nobody there could ever say that it is over
+    day.end(1);
+    day.run(500'000);
+    EXPECT_EQ(day.servers[1]->cuts, 1);
+}
+
+TEST(Node, SeatsCountUntilTheMediaServerHasEndedIt) {
+    VirtualDay day;
+    for (int n = 1; n <= 3; ++n) day.ask(n, "paid");  // two seats
+    day.run(2 * kSecond);
+    EXPECT_EQ((day.said(1) == "+") + (day.said(2) == "+") + (day.said(3) == "+"), 2);
+    std::size_t most = 0;
+    for (const auto& s : day.servers) most += s->standing.size();
+    EXPECT_EQ(most, 2u);
+}
+
+// A refusal is final and at once, with a time to come back; it is not kept until the viewer has gone.
+TEST(Node, ARefusalIsSaidAtOnceWithATimeToComeBack) {
+    VirtualDay day;
+    for (int n = 1; n <= 3; ++n) day.ask(n, "paid");
+    day.run(900'000);
+    int refused = 0;
+    for (int n = 1; n <= 3; ++n)
+        for (const Json& m : day.heard[idOf(n)])
+            if (m.value("rc", 0) == 42) {
+                ++refused;
+                EXPECT_GE(std::stoi(m["opts"]["wait"].get<std::string>()), 1);
+            }
+    EXPECT_EQ(refused, 1);
+}
+
+// ================= the change log =================
+
+TEST(NodeList, ADrainIsKeptWhateverTheLogDoes) {
+    for (const int trouble : {0, 1, 2, 3}) {
+        VirtualDay day;
+        if (trouble == 1) day.log->twice = true;
+        if (trouble == 2) {  // breaks off in the middle of an event
+            day.log->bytes(standins::PlatformLog::frame(2, 2, {{0, day.servers[0]->at(), 1}}).substr(0, 20));
+            day.run(10'000);
+            day.log->breakOff();
+        }
+        if (trouble == 3) day.log->silent = true;
+        day.log->add({{0, day.servers[0]->at(), 1, 0}});
+        day.run(200'000);
+        day.log->silent = false;
+        day.run(3 * kSecond);  // a silence is found out
+        const std::size_t before = day.servers[0]->setups.size();
+        for (int n = 1; n <= 10; ++n) day.ask(n, "talk", "t" + std::to_string(n));
+        day.run(kSecond);
+        EXPECT_EQ(day.servers[0]->setups.size(), before) << trouble;
+        for (int n = 1; n <= 10; ++n) EXPECT_EQ(day.said(n), "+") << trouble;
+        if (trouble >= 2) EXPECT_EQ(day.log->asked.back(), 1u) << trouble;  // from the last whole event
+    }
+}
+
+TEST(NodeList, ANewServerAtTheAddressOfOneThatIsGone) {
+    VirtualDay day(1);
+    day.ask(1);
+    day.run(kSecond);
+    const net::Endpoint at = day.servers[0]->at();
+    day.log->add({{0, at, 2, 0}, {7, at, 0, 0}});
+    day.run(500'000);
+    EXPECT_EQ(day.said(1), "+ 41");  // what the old one played is over
+    day.ask(2);
+    day.run(kSecond);
+    EXPECT_EQ(day.said(2), "+");
+}
+
+TEST(NodeList, IsAskedForWhereTheNewConfigurationSays) {
+    VirtualDay day;
+    standins::PlatformLog other(day.machine(14), Virtual::place(14));
+    other.last = 1;
+    day.front->reread("{ not JSON");  // passed over
+    Json all = Json::parse(day.configuration());
+    all["changelog"] = net::text(other.at());
+    day.front->reread(all.dump());
+    day.run(500'000);
+    ASSERT_EQ(other.asked, std::vector<std::uint64_t>{1});
+    other.add({{0, day.servers[0]->at(), 1, 0}});
+    day.run(500'000);
+    day.ask(1);
+    day.run(kSecond);
+    EXPECT_EQ(day.said(1), "+");
+    EXPECT_TRUE(day.servers[0]->setups.empty());
+}
+
+// ================= the end, and the start =================
+
+TEST(Node, APlannedEndAnswersAllThatWasTaken) {
+    VirtualDay day;
+    for (const auto& s : day.servers)
+        s->does = [](const std::string& tag) { return tag == idOf(2) ? Does::Nothing : Does::Plays; };
+    bool over = false;
+    day.front->stop([&] { over = true; });
+    day.run(300'000);
+    day.ask(1);  // requests still come for a while
+    day.ask(2, "paid", "u");
+    day.run(2 * kSecond);
+    EXPECT_FALSE(over);
+    EXPECT_EQ(day.said(1), "+");
+    day.run(1'700'000);
+    EXPECT_TRUE(over);
+    EXPECT_EQ(day.said(1), "+ 41");  // released, not just cut off
+    EXPECT_EQ(day.said(2), "110");
+}
+
+TEST(Node, SaysWhatIsWrongWithItsConfiguration) {
+    VirtualDay day;
+    const Json good = Json::parse(day.configuration());
+    record::Log log{"", record::Level::Error, 1};
+    const auto wrong = [&](const std::string& text) -> std::string {
+        try {
+            node::Node(day.machine(15), "c.json", text, log);
+        } catch (const setup::Bad& e) {
+            return e.what();
+        }
+        return "taken";
+    };
+    EXPECT_EQ(wrong("{\n \"a\": ,}"), "c.json:2:7: no valid JSON here");
+    Json one = good;
+    one["setting"] = one["settings"];
+    one.erase("settings");
+    EXPECT_EQ(wrong(one.dump()), "c.json: 'settings' is missing; there is a 'setting'");
+    one = good;
+    one["changelog"] = "nowhere";
+    EXPECT_NE(wrong(one.dump()).find("'changelog' is 'nowhere'"), std::string::npos);
+    one = good;
+    one["settings"]["rules"].erase("cold");
+    EXPECT_NE(wrong(one.dump()).find("c.json: settings: 'cold' is missing"), std::string::npos);
+    one = good;
+    one["known"]["results"][0]["fleet"]["instances"][0]["instanceId"] = "7";
+    EXPECT_NE(wrong(one.dump()).find("known.results[0]"), std::string::npos);
+}
+
+// The same on loopback sockets, where connections really are refused and reset.
+struct Sockets {
+    Loop loop;
+    net::Net& machine(int) { return loop.net; }
+    static net::Endpoint place(int) { return Loop::any(); }
+    void run(Micros time) { loop.run(time); }
+};
+
+TEST(NodeOnSockets, KeepsItsRulesWhileServersResetAndDie) {
+    Day<Sockets> day;
+    std::mt19937 chance(3);
+    for (const auto& s : day.servers)
+        s->does = [&](const std::string&) {
+            const auto drawn = chance() % 20;
+            return drawn == 0   ? Does::Resets
+                   : drawn == 1 ? Does::Noise
+                   : drawn == 2 ? Does::Full
+                                : Does::Plays;
+        };
+    for (int n = 1; n <= 60; ++n) {
+        day.ask(n, n % 3 ? "talk" : "paid", "t" + std::to_string(n));
+        if (n % 20 == 0) day.run(30'000);
+    }
+    EXPECT_TRUE(day.loop.until([&] {
+        for (int n = 1; n <= 60; ++n)
+            if (day.said(n).empty()) return false;
+        return true;
+    }));
+    day.servers[0]->die();
+    const auto left = [&] {
+        for (int n = 1; n <= 60; ++n)
+            if (day.said(n) == "+" && !day.playerOf(n)) return true;
+        return false;
+    };
+    EXPECT_TRUE(day.loop.until([&] { return !left(); }, kSecond));
+    for (int n = 3; n <= 60; n += 3) {  // a paid one: again only after "full"
+        int ran = 0;
+        for (const auto& s : day.servers)
+            for (const auto& one : s->setups) ran += one.tag == idOf(n);
+        if (day.said(n) == "41") EXPECT_EQ(ran, 1) << n;
+    }
+    for (int n = 1; n <= 60; ++n) EXPECT_LE(day.heard[idOf(n)].size(), 2u) << n;
+}
+
+}  // namespace
+}  // namespace valekeel
