Errors over titles never seen to play are the asker's, not the media server's

Cause: 133 well-formed requests of bad clients for titles that no media server has were each answered with an error by up to three holders, and the health test took them for the servers' (logic.cpp, joinEnded: judge on every Error); the module chose among 1.9 holders of 3 and refused 235 usual viewers.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -44,10 +44,9 @@
 constexpr double kEarnBack = 4;    // a rise must earn the switch this many times over
 
 // ---- what is believed of links ----
-constexpr double kUseHalfLife = 8;  // seconds after which a told figure counts half
-constexpr double kUseUntold = 0.6;  // what a link of which nothing is known is taken to be asked
-constexpr double kUntoldMost =
-    0.9;  // and at most so: one join there tells, while a guess of full never would
+constexpr double kUseHalfLife = 8;      // seconds after which a told figure counts half
+constexpr double kUseUntold = 0.6;      // what a link of which nothing is known is taken to be asked
+constexpr double kUntoldMost = 0.9;     // at most so: one join there tells, a guess of full never would
 constexpr Micros kAnswerAge = 400'000;  // load figures in answers are about this old
 constexpr double kLinkClear = 0.92;     // a link asked for under so much of a shortness is not its cause
 constexpr double kNoisyShare = 0.4;     // part that a noisy figure in an answer moves the belief
@@ -74,7 +73,8 @@
 const double kGoodStep = std::log(0.5 / 0.98);
 constexpr double kVerdict = 4.0;  // evidence at which a media server is set aside
 constexpr double kMostEvidence = 6.5;
-constexpr double kDoubtWeight = 0.15;  // how a doubt short of a verdict weighs in the score
+constexpr double kDoubtWeight = 0.15;         // how a doubt short of a verdict weighs in the score
+constexpr Micros kTitleKnown = 60 * kSecond;  // a title seen to play so lately is no asker's invention
 constexpr Micros kFirstPause = 1 * kSecond, kLongestPause = 8 * kSecond;
 
 // ---- time-outs ----
@@ -158,8 +158,7 @@
                 fleet_.uplinkKb * links[rack] * static_cast<double>(links.size()) / std::max(1.0, all);
     }
 
-    // The list can't be had now: the one held still applies, and it is asked for again. All fronts may have
-    // failed together, so they ask again apart.
+    // The list held still applies. All fronts may have failed together, so they ask again apart.
     void listFailed() {
         if (fleet_.listAsked)
             host_.wakeAfter(std::uniform_int_distribution<Micros>(kAskAgain, 2 * kAskAgain)(chance_), "list");
@@ -190,6 +189,7 @@
         sub.rung = roomOf(sub).floor;
         sub.at = at;
         handedOver_ = true;
+        playedAt_[titleOf(sub)] = now;
         hold(now, sub, +1);
         forgetChanges(sfus_[at]);
     }
@@ -202,9 +202,9 @@
         sub.state = State::Playing;
         sub.playsSince = now;
         learnSetup(took);
+        playedAt_[titleOf(sub)] = now;
         // It answers again after breaks or silence: it may have started just now, whatever the list says yet.
-        // Guards against a rush onto a cold server; could hurt after a mere cut of the network, for one
-        // warm-up.
+        // Guards against a rush onto a cold server; after a mere cut of the network it costs one warm-up.
         Sfu& s = sfus_[at];
         if (s.evidence >= kVerdict && s.mayHaveRestartedAt > s.startedAt) mayHaveRestarted(now, s);
         judge(now, sfus_[at], kGoodStep);
@@ -217,12 +217,16 @@
         auto it = subs_.find(id);
         const bool played = it != subs_.end() && it->second.state == State::Playing;
         const bool suspected = it != subs_.end() && it->second.overdue;
+        // An error over a title that was not seen to play may be the asker's own: guards against callers who
+        // ask for what no media server has. It hides a sick one while nothing but unseen titles is asked for.
+        const bool askers =
+            end == JoinEnd::Error && it != subs_.end() && !playedAt_.contains(titleOf(it->second));
         switch (end) {
             case JoinEnd::Error:
             case JoinEnd::Reset:
             case JoinEnd::NoConnection:
             case JoinEnd::TimedOut:
-                if (!suspected) judge(now, s, kFailStep);
+                if (!suspected && !askers) judge(now, s, kFailStep);
                 // A break of what plays, or nobody there, says that the process is lost. An answer that did
                 // not come may be no more than that: one alone must not make a whole fleet count as cold.
                 if (played || end == JoinEnd::NoConnection || s.evidence >= kVerdict)
@@ -248,7 +252,7 @@
         sub.state = State::Waiting;
         sub.overdue = false;
         // A paid set-up that may have run can't be tried again, and no other try can still be in time.
-        if ((roomOf(sub).paid && sub.mayHaveRun) || end == JoinEnd::NeverSent ||
+        if ((roomOf(sub).paid && sub.mayHaveRun) || end == JoinEnd::NeverSent || (askers && sub.joins > 1) ||
             now >= sub.takenAt + roomOf(sub).joinObjective) {
             giveUp(now, id);
             return;
@@ -392,6 +396,7 @@
         int joinsOut = 0;
     };
 
+    static std::pair<RoomTypeId, TitleId> titleOf(const Sub& sub) { return {sub.wish.room, sub.wish.title}; }
     const RoomType& roomOf(const Sub& sub) const { return rooms_[sub.wish.room.v]; }
     double kbOf(const Sub& sub, int rung) const {
         return ladder_.kb[static_cast<std::size_t>(rung)] * roomOf(sub).rateFactor;
@@ -485,8 +490,7 @@
         return std::max(asked, s.ownKb / kb);
     }
 
-    // The use of all uplinks, in one pass: with hundreds of servers a sum for each of them would cost more
-    // than all else.
+    // Of all uplinks in one pass: with hundreds of servers a sum for each would cost more than all else.
     std::vector<double> uplinksAsked(Micros now) const {
         std::vector<double> use(uplinks_.size(), 0);
         for (const auto& [id, s] : sfus_)
@@ -505,8 +509,7 @@
         return use;
     }
 
-    // What is known to be asked, for drops: a change of rung is paid for, so no guess about others causes
-    // one.
+    // What is known to be asked, for drops: they are paid for, so no guess about others causes one.
     double knownAsked(Micros now, const Sfu& s) const {
         auto known = [&](const Sfu& one) {
             const double kb = linkKb(now, one);
@@ -584,7 +587,7 @@
         }
         shift(now, s, sign * sub.bookedKb);
         if (sign < 0) count(sub, -1);
-        const auto seat = seats_.try_emplace({sub.wish.room, sub.wish.title}, 0).first;
+        const auto seat = seats_.try_emplace(titleOf(sub), 0).first;
         if ((seat->second += sign) <= 0) seats_.erase(seat);
         if (sub.state == State::Joining || (sign > 0 && sub.state == State::Waiting)) s.joinsOut += sign;
     }
@@ -637,7 +640,7 @@
     int seatsLeft(const Sub& sub) const {
         const int seats = roomOf(sub).seats;
         if (seats <= 0) return 1;
-        auto it = seats_.find({sub.wish.room, sub.wish.title});
+        auto it = seats_.find(titleOf(sub));
         return seats - (it == seats_.end() ? 0 : it->second);
     }
 
@@ -661,8 +664,7 @@
     // When this front may next join a media server that may be cold. All that may compete for it keep,
     // summed, a part of the pace that it bears at its start: each has a gap between its own joins, and draws
     // where in the first gap its turn lies, so the first joins of hundreds of fronts don't come at once.
-    // Those that may compete are the fronts with a request for it within a warm-up; each guesses them by its
-    // own.
+    // Those are the fronts with a request for it within a warm-up; each guesses them by its own.
     Micros coldTurn(Micros now, const Sub& sub, const Sfu& s) const {
         const bool young = warmShare(now, s) < 1;
         // A front that has just come up knows an old list: any media server may have restarted meanwhile.
@@ -731,8 +733,7 @@
             ++among;
             const bool here = gathersAt(sfuId);
             const double link = linkAsked(now, s), uplink = uplinks[rackOf(s)];
-            // Of most media servers a front knows nothing, and all fronts would take the first of those
-            // alike.
+            // A front knows nothing of most media servers: all would take the first of those alike.
             const double doubt = kDoubtWeight * std::max(0.0, s.evidence) + crossing(s) +
                                  std::uniform_real_distribution<double>(0, kNearTie)(chance_);
             // Link and uplink lie one behind the other: their fetch times add up. The larger alone would
@@ -869,6 +870,7 @@
             return entry.second.standing == Standing::Off && entry.second.ownKb <= 0 &&
                    entry.second.joinsOut <= 0;
         });
+        std::erase_if(playedAt_, [&](const auto& entry) { return entry.second < now - kTitleKnown; });
         double sum = 0, count = 0;
         for (auto& [id, s] : sfus_) {
             while (!s.link.changes.empty() && s.link.changes.front().at < now - 20 * kSecond)
@@ -954,9 +956,8 @@
     }
 
     // Room that a told figure leaves is taken up in steps, the most benefit per kB first. All fronts that
-    // play there hear the same figure at the same time: each takes the part of the room that its own rates
-    // are of what is asked, and the last step, which that part does not hold, by chance. Then it waits for
-    // the next figure.
+    // play there hear the same figure: each takes the part of the room that its own rates are of what is
+    // asked, and the last step, which that part does not hold, by chance. Then it waits for the next figure.
     void stepUp(Micros now, Sfu& s, const std::vector<SubId>& ids, double rackUse) {
         if (now - s.shortAt < (untold() ? kQuietUntold : kQuiet) || s.evidence >= kVerdict ||
             s.standing == Standing::Off)
@@ -1013,8 +1014,8 @@
     double stepValue(const Sub& sub, int rung) const {
         return (earns(sub, rung) - earns(sub, rung - 1)) / (kbOf(sub, rung) - kbOf(sub, rung - 1));
     }
-    // A step that its part holds is taken; one that it doesn't at that chance, weighed by what the step earns
-    // or saves beside the usual one: with one subscription at a server there is no order to keep.
+    // A step that its part holds is taken; one that it doesn't at that chance, weighed by its worth beside
+    // the usual one: with one subscription at a server there is no order to keep.
     bool byLot(double part, double step, double weight) {
         const double lot = std::uniform_real_distribution<double>(0, 1)(chance_);
         return part >= step || part * weight * weight >= lot * step;
@@ -1050,6 +1051,7 @@
     std::vector<Uplink> uplinks_;
     std::vector<SubId> waiting_;
     std::map<std::pair<RoomTypeId, TitleId>, int> seats_;
+    std::map<std::pair<RoomTypeId, TitleId>, Micros> playedAt_;
     std::map<std::tuple<SfuId, RoomTypeId, TitleId, int>, int> streams_;  // own viewers of a shared stream
     std::deque<Micros> taken_, further_;
     Histogram setups_;
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -408,6 +408,10 @@
         core_->joined(id, joinNo, {JoinEnd::Played, false, took, {}, "played"});
     } else if (message.verb == "FINISH") {
         const Meaning meaning = meaningOf(message.cause.value_or(0));
+        if (meaning.end == JoinEnd::Error)
+            if (const SetupWords* words = user_.wordsOf(id))
+                odd_("a media server could not use a set-up",
+                     words->tag + " " + words->room + " " + words->title + " " + words->description);
         ended(id, {meaning.end, meaning.neverRan, took, loadOf(message), meaning.why});
     }
 }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -130,6 +130,33 @@
 }
 
 // A server that was silent for longer than a warm-up comes back cold, and the list may not say so yet.
+// Guards against callers who ask for titles that no media server has: their errors set good servers aside.
+TEST(Health, AnErrorOverATitleThatNeverPlayedIsTheAskersOwn) {
+    Rig rig(Site{.sfus = 2});
+    for (unsigned id = 1; id <= 40; ++id) {
+        rig.subscribe(id, 3 * kSecond, 0, "unheard " + std::to_string(id));
+        rig.run(kSecond / 10);
+        for (int join = 0; join < 2; ++join) rig.end(id, JoinEnd::Error);
+        rig.run(kSecond / 10);
+        EXPECT_EQ(rig.throttled.count(SubId{id}), 1u);  // two have said so: no third join is spent on it
+    }
+    EXPECT_EQ(rig.joins.size(), 80u);
+    rig.subscribe(100);
+    rig.run(kSecond / 10);
+    EXPECT_EQ(rig.choices.back().among, 2);  // nobody is set aside
+    rig.play(100);
+    // Of a title that has played here an error is the media server's, and sets it aside as before.
+    std::map<SfuId, int> errors;
+    for (unsigned id = 101; id <= 120 && rig.choices.back().among == 2; ++id) {
+        rig.subscribe(id);
+        rig.run(kSecond / 10);
+        rig.end(id, JoinEnd::Error);
+        rig.run(kSecond / 10);
+        if (rig.last(id).no == 1) rig.play(id);
+    }
+    EXPECT_EQ(rig.choices.back().among, 1);
+}
+
 TEST(Cold, AServerThatAnswersAgainAfterBreaksIsTakenToBeCold) {
     Rig rig(Site{.sfus = 1, .fronts = 1});
     for (unsigned id = 1; id < 6; ++id) {
