A crowd that only tests never takes the connection of viewers that play

Cause: makeRoom (viewers.cpp) ranked a connection that had passed a test like one on which subscriptions play, and closed one with 11 of them for a crowd's sake; releases without a connection then went to the crowd's latest.

--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <tuple>
 
 namespace valekeel::node {
 namespace {
@@ -117,7 +118,8 @@
     Viewers& all;
     std::uint64_t key;
     Micros since;
-    bool proven = false;   // it has brought something of use
+    // It has brought something of use; a set-up; one that played.
+    bool proven = false, asked = false, played = false;
     std::set<SubId> open;  // set-ups without an answer
     int useless = 0;
     std::size_t standing = 0;  // subscriptions that were set up on it
@@ -156,13 +158,15 @@
     conns_[key] = std::make_unique<Conn>(*this, key, std::move(stream));
 }
 
-// Connects that say nothing must not keep out those that ask: first the oldest of those that have brought
-// nothing goes, then one on which nothing is open.
+// A crowd that connects and says nothing, or no more than a test, must not keep out those that ask, nor cut
+// off those that play: the least that it has brought goes first, then the longest silent. One on which
+// something plays is never taken, as its end must be said there.
 void Viewers::makeRoom() {
     Conn* pick = nullptr;
-    const auto rank = [](const Conn& c) { return std::pair(c.proven, c.wire.heardAt()); };
+    const auto rank = [](const Conn& c) { return std::tuple(c.played, c.asked, c.proven, c.wire.heardAt()); };
     for (const auto& [key, conn] : conns_)
-        if (conn->open.empty() && (!pick || rank(*conn) < rank(*pick))) pick = conn.get();
+        if (conn->open.empty() && conn->standing == 0 && (!pick || rank(*conn) < rank(*pick)))
+            pick = conn.get();
     if (!pick) return;
     ++counts_.evicted;
     drop(*pick);
@@ -203,6 +207,7 @@
         counts_.silent += !conn->proven;
         drop(*conn);
     }
+    sayWaiting();
     while (!toTell_.empty() && now - toTell_.front().first > limits_.tellFor) {
         ++counts_.untold;
         toTell_.pop_front();
@@ -231,11 +236,6 @@
     } else if (message->verb != "FINISHED" && message->verb != "PENDING") {
         return useless(conn, *message, "unknown verb");
     }
-    if (conn.proven)
-        while (!toTell_.empty() && !conn.wire.isClosed()) {
-            conn.wire.say(toTell_.front().second);
-            toTell_.pop_front();
-        }
 }
 
 // Refused as unusable. Nothing of it reaches the core, and no media server is asked.
@@ -267,7 +267,7 @@
         return drop(conn);
     }
     if (!request) return useless(conn, m, why);
-    conn.proven = true;
+    conn.proven = conn.asked = true;
     SetupWords words{m.tag, *m.text("class"), *m.text("key"), *m.description};
     if (request->playsAt) {
         ++counts_.handedOver;
@@ -281,7 +281,7 @@
         Asking& asking = asking_[*id];
         asking.words = std::move(words);
         asking.conn = conn.key;
-        asking.plays = true;
+        asking.plays = conn.played = true;
         ++conn.standing;
         byTag_[m.tag] = *id;
         servers_->handedOver(*id, *request->playsAt);
@@ -330,8 +330,7 @@
 
 // ================= out =================
 
-// On the connection that it was set up on, if that stands. A release may go out on any: it is said on the
-// one that brought something of use last, and kept for the next one where none stands.
+// On the connection that it was set up on, if that stands. A release may go out on any.
 void Viewers::tell(SubId id, const Message& message, bool release) {
     const auto it = asking_.find(id);
     if (it == asking_.end()) return;
@@ -342,14 +341,25 @@
         return;
     }
     if (!release) return;
+    if (toTell_.size() >= limits_.toTell) toTell_.pop_front();
+    toTell_.emplace_back(net_.now(), line);
+    sayWaiting();
+}
+
+// Releases whose own connection is gone: on one that belongs to viewers whose subscriptions play. Another may
+// be anybody's, and what is said there is lost; it is taken only once no better one has come for a while.
+void Viewers::sayWaiting() {
+    if (toTell_.empty()) return;
     Conn* pick = nullptr;
+    const auto rank = [](const Conn& c) {
+        return std::tuple(c.standing > 0, c.played, c.asked, c.wire.heardAt());
+    };
     for (const auto& [key, conn] : conns_)
-        if (conn->proven && (!pick || conn->wire.heardAt() > pick->wire.heardAt())) pick = conn.get();
-    if (pick) {
-        pick->wire.say(line);
-    } else {
-        if (toTell_.size() >= limits_.toTell) toTell_.pop_front();
-        toTell_.emplace_back(net_.now(), line);
+        if (conn->proven && (!pick || rank(*conn) > rank(*pick))) pick = conn.get();
+    while (pick && !toTell_.empty() &&
+           (pick->played || net_.now() - toTell_.front().first > limits_.tellAnyAfter)) {
+        pick->wire.say(toTell_.front().second);
+        toTell_.pop_front();
     }
 }
 
@@ -365,7 +375,10 @@
     if (it == asking_.end()) return;
     ++counts_.played;
     it->second.plays = true;
-    if (const auto conn = conns_.find(it->second.conn); conn != conns_.end()) ++conn->second->standing;
+    if (const auto conn = conns_.find(it->second.conn); conn != conns_.end()) {
+        ++conn->second->standing;
+        conn->second->played = true;
+    }
     Message answer;
     answer.verb = "STARTED";
     answer.tag = it->second.words.tag;
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -26,6 +26,7 @@
     std::size_t unsent = 256 * 1024;  // bytes, on one connection
     Micros longestWait = 60'000'000;  // a viewer may name
     Micros tellFor = 8'000'000;       // a release that no connection takes is kept for so long
+    Micros tellAnyAfter = 3'000'000;  // where no connection of viewers that play stands
     std::size_t toTell = 4'096;       // of them
     Micros cutWithin = 400'000;       // a media server confirms the end of what its viewer left
 };
@@ -86,6 +87,7 @@
     void drop(Conn&);
     void tell(SubId, const Message&, bool release);
     void release(SubId, int cause);
+    void sayWaiting();
     void makeRoom();
     void tidy();
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -302,16 +302,49 @@
     EXPECT_EQ(day.servers[0]->standing.size(), 1u);
 }
 
+// What ends a subscription is said where its viewers are, not to whoever has connected last.
 TEST(Node, AReleaseFindsItsViewerOnAnotherConnection) {
     VirtualDay day(1);
     day.ask(1);
+    day.ask(2);
+    const auto other = day.line();
+    other->say(VirtualDay::start(3));
     day.run(kSecond);
     day.viewers->close(true);
+    int strange = 0;
+    standins::PlatformLine stranger(day.machine(13), day.front->at(),
+                                    [&](auto&, const Json& m) { strange += m["verb"] == "FINISH"; });
+    stranger.say({{"verb", "ECHO"}, {"tag", idOf(99)}, {"opts", Json::object()}});
     day.run(100'000);
     day.servers[0]->end(idOf(1), 16);
+    day.run(900'000);
+    EXPECT_EQ(day.said(1), "+ 16");
+    other->close(true);
+    day.run(100'000);
+    day.servers[0]->end(idOf(2), 16);
     day.run(500'000);
+    EXPECT_EQ(day.said(2), "+");  // waits for a better one
     day.viewers = day.line();
-    day.viewers->say({{"verb", "ECHO"}, {"tag", idOf(9)}, {"opts", Json::object()}});
+    day.ask(4);
+    day.run(500'000);
+    EXPECT_EQ(day.said(2), "+ 16");
+    EXPECT_EQ(strange, 0);
+}
+
+// Guards against a crowd of connects, each of which passes a test: it took the place of those that play.
+TEST(Node, ACrowdThatTestsCutsNobodyOff) {
+    VirtualDay day;
+    day.ask(1);
+    day.run(500'000);
+    std::vector<std::unique_ptr<standins::PlatformLine>> crowd;
+    for (int i = 0; i < 400; ++i) {
+        crowd.push_back(std::make_unique<standins::PlatformLine>(day.machine(13), day.front->at(),
+                                                                 [](auto&, const Json&) {}));
+        crowd.back()->say({{"verb", "ECHO"}, {"tag", idOf(99)}, {"opts", Json::object()}});
+    }
+    day.run(100'000);
+    EXPECT_FALSE(day.viewers->ended());
+    day.playerOf(1)->end(idOf(1), 16);
     day.run(500'000);
     EXPECT_EQ(day.said(1), "+ 16");
 }
