--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -155,7 +155,9 @@
     if (conns_.size() >= limits_.connections) makeRoom();
     if (conns_.size() >= limits_.connections) return;  // closed as it goes
     const std::uint64_t key = nextConn_++;
-    conns_[key] = std::make_unique<Conn>(*this, key, std::move(stream));
+    Conn& conn = *(conns_[key] = std::make_unique<Conn>(*this, key, std::move(stream)));
+    // Most ask as soon as they are connected: in a crowd one must not be closed for room before it was read.
+    conn.wire.readNow();
 }
 
 // A crowd that connects and says nothing, or no more than a test, must not keep out those that ask, nor cut
--- a/src/node/wire.hpp
+++ b/src/node/wire.hpp
@@ -42,6 +42,7 @@
 
     // Gives the place in the stream at which it begins; what is said after close() is lost.
     std::uint64_t say(std::string_view line);
+    void readNow() { readable(); }  // what lies there already, without waiting for the next turn
     std::uint64_t taken() const { return taken_; }  // bytes that the kernel has taken
     bool isOpen() const { return state_ == State::Open; }
     bool isClosed() const { return state_ == State::Closed; }
