Notes of load that come before the answer are kept and told after it

Cause: half of the notes at set-up (387 of 773) arrive just before STARTED; Servers::heard passed over everything but the answer while a set-up was out (servers.cpp). Found by counting notes by kind and state beside set-ups that play.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -273,6 +273,9 @@
                {"broken", s.broken},
                {"garbled", s.garbled},
                {"unknown", s.unknown},
+               {"early", s.early},
+               {"figures", s.figures},
+               {"notes", s.notes},
                {"looked_for", s.lookedFor},
                {"found_gone", s.foundGone}}}});
     }
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -35,6 +35,7 @@
     return lineOf(end);
 }
 
+constexpr std::size_t kMostEarly = 4;
 constexpr Micros kTidyEvery = 100'000;
 constexpr int kCut = 41;  // the cause of what was cut
 
@@ -106,6 +107,7 @@
     std::uint64_t from = 0;  // where it begins on it
     Micros sentAt = 0;
     std::unique_ptr<net::Timer> late;
+    std::vector<Message> early;  // notes that came before the answer
 };
 
 void Servers::Link::opened() {
@@ -269,6 +271,7 @@
     held.tag = words->tag;
     held.joinNo = joinNo;
     held.stands = held.cut = false;
+    held.early.clear();
     held.link = link;
     held.sentAt = net_.now();
     held.late = std::make_unique<net::Timer>(net_, [this, id] {
@@ -392,6 +395,13 @@
     Held& held = it->second;
     if (held.stands) return standingHeard(id, held, message);
     const Micros took = net_.now() - held.sentAt;
+    // What is said at set-up may come before the answer does: it is the freshest figure there is of this
+    // server.
+    if (message.verb == "NOTICE") {
+        ++counts_.early;
+        if (held.early.size() < kMostEarly) held.early.push_back(message);
+        return;
+    }
     if (message.verb == "STARTED") {
         if (!message.description) {  // spoilt: it has run, and nobody can be told what it came to
             ended(id, {JoinEnd::Reset, false, took, {}, "answer without a description"});
@@ -404,8 +414,13 @@
         if (held.link) held.link->out.erase(id);
         held.link = nullptr;
         server.standing.insert(id);
+        const std::vector<Message> early = std::exchange(held.early, {});
         user_.answered(id, *message.description);
         core_->joined(id, joinNo, {JoinEnd::Played, false, took, {}, "played"});
+        for (const Message& note : early) {
+            const auto standing = held_.find(id);
+            if (standing != held_.end()) standingHeard(id, standing->second, note);
+        }
     } else if (message.verb == "FINISH") {
         const Meaning meaning = meaningOf(message.cause.value_or(0));
         if (meaning.end == JoinEnd::Error)
@@ -420,6 +435,7 @@
     const SfuId at = held.at;
     if (message.verb == "FINISH") {
         const int cause = message.cause.value_or(0);
+        if (message.text("load")) ++counts_.figures;
         user_.over(id, endOfStanding(cause), cause, loadOf(message));
         return forget(id);
     }
@@ -427,14 +443,19 @@
     const std::string* note = message.text("note");
     const auto value = message.number("value");
     if (!note || !value) return;
-    if (*note == "served")
+    if (*note == "served") {
+        ++counts_.notes[0];
         core_->delivered(id, at, *value);
-    else if (*note == "at_rung")
+    } else if (*note == "at_rung") {
+        ++counts_.notes[1];
         core_->rungTold(id, static_cast<int>(*value));
-    else if (*note == "link_use")
+    } else if (*note == "link_use") {
+        ++counts_.notes[2];
         core_->figures(id, at, *value, std::nullopt);
-    else if (*note == "rack_use")
+    } else if (*note == "rack_use") {
+        ++counts_.notes[3];
         core_->figures(id, at, std::nullopt, *value);
+    }
 }
 
 // What stood there before this time; all that is set up later belongs to a newer process.
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -4,6 +4,7 @@
 // never by a test, which sites may forbid.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -48,7 +49,8 @@
 
 struct ServerCounts {
     std::uint64_t connects = 0, refused = 0, noConnect = 0, broken = 0, garbled = 0, unknown = 0,
-                  lookedFor = 0, foundGone = 0;
+                  lookedFor = 0, foundGone = 0, early = 0, figures = 0;
+    std::array<std::uint64_t, 4> notes{};  // served, at_rung, link_use, rack_use
 };
 
 class Servers final : public core::Sender {
--- a/src/standins/platform.cpp
+++ b/src/standins/platform.cpp
@@ -63,6 +63,7 @@
 void PlatformServer::start(PlatformLine& line, const std::string& tag) {
     standing.insert(tag);
     by_[tag] = &line;
+    if (saysFirst > 0) note(tag, "link_use", saysFirst);
     line.say({{"verb", "STARTED"}, {"tag", tag}, {"opts", Json::object()}, {"blob", "words of " + tag}});
 }
 
--- a/src/standins/platform.hpp
+++ b/src/standins/platform.hpp
@@ -45,6 +45,7 @@
     PlatformServer(net::Net&, const net::Endpoint&);
     net::Endpoint at() const { return listener_->at(); }
     std::function<Does(const std::string& tag)> does = [](const std::string&) { return Does::Plays; };
+    double saysFirst = 0;  // above 0: its link's use, in a note just before each answer
     void end(const std::string& tag, int cause);
     void note(const std::string& tag, const std::string& kind, double value);
     void resetAll();  // its connections; what stands goes on
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -273,6 +273,20 @@
     EXPECT_EQ(day.said(1), "+ 16");
 }
 
+// Guards against losing the freshest figure there is: half of the notes at set-up come before the answer.
+TEST(Node, AFigureToldBeforeTheAnswerCounts) {
+    VirtualDay day;
+    for (const auto& s : day.servers) s->saysFirst = 0.1;
+    day.servers[1]->saysFirst = 3;  // far too much is asked of its link
+    for (int n = 1; n <= 30; ++n) {
+        day.ask(n, "talk", "t" + std::to_string(n));
+        day.run(100'000);
+    }
+    EXPECT_LE(day.servers[1]->setups.size(), 3u);
+    EXPECT_GE(day.servers[0]->setups.size(), 8u);
+    EXPECT_GE(day.servers[2]->setups.size(), 8u);
+}
+
 TEST(Node, TheViewersOfADeadServerHearOfItWithinASecond) {
     VirtualDay day(1);
     day.ask(1);
