One set-up of a wire for accepted and connecting streams; a wrong comment and a dead query gone

Read once more: the two constructors of node::Wire repeated their list of members (wire.cpp), the comment on seedOf spoke of descriptors, and Wire::midLine was asked by nobody. Behaviour as it was; all tests pass. Left and named: the node's log line and that of the HTTP face's status are alike only in that both list counts.

--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -32,7 +32,7 @@
     std::unique_ptr<Parts> parts_;
 };
 
-// How many descriptors the platform allows; for the loop that is made before the node.
+// The seed that the configuration hands out, for the loop that is made before the node. Throws setup::Bad.
 std::uint64_t seedOf(const setup::Json& configuration);
 
 }  // namespace valekeel::node
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -15,31 +15,26 @@
     return kNames[static_cast<int>(gone)];
 }
 
-Wire::Wire(net::Net& net, std::unique_ptr<net::Stream> stream, const Limits& limits, WireUser& user)
+Wire::Wire(net::Net& net, State state, const Limits& limits, WireUser& user)
     : net_(net),
       limits_(limits),
       user_(user),
-      state_(State::Open),
+      state_(state),
       heardAt_(net.now()),
       usedAt_(net.now()),
       late_(net, [this] { lose(Gone::NoConnect); }),
       more_(net, [this] { readable(); }),
-      unfinished_(net, [this] { lose(Gone::Garbled); }),
-      stream_(std::move(stream)) {
+      unfinished_(net, [this] { lose(Gone::Garbled); }) {}
+
+Wire::Wire(net::Net& net, std::unique_ptr<net::Stream> stream, const Limits& limits, WireUser& user)
+    : Wire(net, State::Open, limits, user) {
+    stream_ = std::move(stream);
     stream_->handTo(*this);
 }
 
 Wire::Wire(net::Net& net, const net::Endpoint& to, Micros connectWithin, const Limits& limits, WireUser& user)
-    : net_(net),
-      limits_(limits),
-      user_(user),
-      state_(State::Connecting),
-      heardAt_(net.now()),
-      usedAt_(net.now()),
-      late_(net, [this] { lose(Gone::NoConnect); }),
-      more_(net, [this] { readable(); }),
-      unfinished_(net, [this] { lose(Gone::Garbled); }),
-      stream_(net.connect(to, *this)) {
+    : Wire(net, State::Connecting, limits, user) {
+    stream_ = net.connect(to, *this);
     late_.after(connectWithin);
 }
 
--- a/src/node/wire.hpp
+++ b/src/node/wire.hpp
@@ -50,10 +50,10 @@
     void close(bool hard = false);
     Micros heardAt() const { return heardAt_; }
     Micros usedAt() const { return usedAt_; }
-    bool midLine() const { return !in_.empty(); }
 
   private:
     enum class State { Connecting, Open, Closed };
+    Wire(net::Net&, State, const Limits&, WireUser&);
     void connected() override;
     void connectFailed(net::NoStream) override;
     void readable() override;
