--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -7,17 +7,14 @@
 #include <random>
 
 #include "core/core.hpp"
-#include "loop.hpp"
-#include "net/virtual.hpp"
 #include "node/changelog.hpp"
 #include "node/message.hpp"
-#include "standins/platform.hpp"
+#include "node_day.hpp"
 
 namespace valekeel {
 namespace {
 
-using Json = nlohmann::json;
-using standins::Does;
+using namespace nodeday;
 
 // ================= parts =================
 
@@ -87,121 +84,6 @@
 
 // ================= the whole =================
 
-Json settings() {
-    return Json::parse(R"({"balancers":2,"host_types":["k"],"zones":["z"],"zone":"z","weights":"nominal",
-      "allowed":{"attempts_cap":3,"max_retry_after":0.5,"retry_after":true,"max_streams":32,
-        "connect_timeout":0.25,"conn_idle":30},
-      "request_classes":[
-        {"name":"talk","promise":1.5,"deadline":3,"idempotency":"pure","importance":1},
-        {"name":"paid","promise":0.8,"deadline":3,"idempotency":"side_effect","importance":3}],
-      "rules":{"cold":10.0,"start_capacity":0.4,"fall_multiple":2.0,"tip_after":1.5,"spare_attempts":5,
-        "resend_ratio":0.1,"look_back":10},
-      "specifics":{"cells":3,"racks":1,"ladder_kb":[100,300,900],"ladder_worth":[0.3,0.7,1],
-        "rate_factor":[1,1],"lowest_rung":[0,0],"highest_rung":[2,2],"licence_cap":[0,2],"links_kb":60000,
-        "rack_link_kb":60000,"places_by_kind":[200],"weight_kb":20000,"stall":8,"switch_cost_s":0.5,
-        "told_late":1,"told_every":2}})");
-}
-
-std::string idOf(int n) {
-    char text[17];
-    std::snprintf(text, sizeof text, "%016x", n);
-    return text;
-}
-
-template <class Machines>
-struct Day : Machines {
-    std::vector<std::unique_ptr<standins::PlatformServer>> servers;
-    std::unique_ptr<standins::PlatformLog> log;
-    record::Log record{"", record::Level::Error, 1};
-    std::unique_ptr<node::Node> front;
-    std::unique_ptr<standins::PlatformLine> viewers;
-    std::map<std::string, std::vector<Json>> heard;
-
-    explicit Day(int count = 3) {
-        for (int i = 0; i < count; ++i)
-            servers.push_back(std::make_unique<standins::PlatformServer>(this->machine(i), this->place(i)));
-        log = std::make_unique<standins::PlatformLog>(this->machine(10), this->place(10));
-        log->last = 1;
-        front = std::make_unique<node::Node>(this->machine(11), "config.json", configuration(), record);
-        viewers = line();
-        this->run(50'000);
-    }
-    std::string configuration() {
-        Json boxes = Json::array();
-        for (std::size_t i = 0; i < servers.size(); ++i)
-            boxes.push_back({{"instanceId", "s-0000000" + std::to_string(i)},
-                             {"hostPort", net::text(servers[i]->at())},
-                             {"zone", "z"},
-                             {"machineType", "k"},
-                             {"cell", i},
-                             {"lifecycle", "active"},
-                             {"weight", 1},
-                             {"startedAtMs", 0}});
-        return Json{
-            {"name", "n0"},
-            {"listen", net::text(this->place(11))},
-            {"seed", "8c1f30d27a5be964"},
-            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
-            {"changelog", net::text(log->at())},
-            {"known",
-             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
-            {"settings", settings()}}
-            .dump();
-    }
-    std::unique_ptr<standins::PlatformLine> line() {
-        return std::make_unique<standins::PlatformLine>(
-            this->machine(12), front->at(),
-            [this](standins::PlatformLine&, const Json& m) { heard[m.value("tag", "")].push_back(m); });
-    }
-    static Json start(int n, const std::string& room = "talk", const std::string& title = "t") {
-        return {{"verb", "START"},
-                {"tag", idOf(n)},
-                {"opts",
-                 {{"class", room}, {"left", "3000"}, {"key", title}, {"extras", "home:0;copies:3;top:2"}}},
-                {"blob", "offer"}};
-    }
-    void ask(int n, const std::string& room = "talk", const std::string& title = "t") {
-        viewers->say(start(n, room, title));
-    }
-    void end(int n) {
-        viewers->say({{"verb", "FINISH"}, {"tag", idOf(n)}, {"opts", Json::object()}, {"rc", 16}});
-    }
-    // What was said of it: "+" that it plays, a cause of a release, in order.
-    std::string said(int n) {
-        std::string out;
-        for (const Json& m : heard[idOf(n)])
-            out += (out.empty() ? "" : " ") +
-                   (m["verb"] == "STARTED" ? std::string("+") : std::to_string(m.value("rc", 0)));
-        return out;
-    }
-    standins::PlatformServer* playerOf(int n) {
-        for (const auto& s : servers)
-            if (s->standing.count(idOf(n))) return s.get();
-        return nullptr;
-    }
-    int setupsOf(int n) {
-        int count = 0;
-        for (const auto& s : servers)
-            for (const auto& one : s->setups) count += one.tag == idOf(n);
-        return count;
-    }
-};
-
-struct Virtual {
-    net::VirtualWorld world{5};
-    std::map<int, net::VirtualNode*> nodes;
-    net::Net& machine(int n) {
-        auto& node = nodes[n];
-        if (!node) node = &world.node("m" + std::to_string(n), place(n).ip);
-        return *node;
-    }
-    static net::Endpoint place(int n) {
-        return *net::endpointOf("10.0.0." + std::to_string(n + 1) + ":5060");
-    }
-    void run(Micros time) { world.runUntil(world.now() + time); }
-};
-using VirtualDay = Day<Virtual>;
-
 TEST(Node, PassesATestAndServes) {
     VirtualDay day;
     day.viewers->say({{"verb", "ECHO"}, {"tag", idOf(99)}, {"opts", Json::object()}, {"rc", 0}});
@@ -614,14 +496,6 @@
     EXPECT_NE(wrong(one.dump()).find("known.results[0]"), std::string::npos);
 }
 
-// The same on loopback sockets, where connections really are refused and reset.
-struct Sockets {
-    Loop loop;
-    net::Net& machine(int) { return loop.net; }
-    static net::Endpoint place(int) { return Loop::any(); }
-    void run(Micros time) { loop.run(time); }
-};
-
 TEST(NodeOnSockets, KeepsItsRulesWhileServersResetAndDie) {
     Day<Sockets> day;
     std::mt19937 chance(3);
