Viewers: a lingering close; what lies unread is read before a connection goes for room

Seen: (1) Wire::close (wire.cpp) cleared what was unsent and deleted the stream; with unread bytes that resets the connection, so 4 refusals just written were gone for a viewer that reads a little later, and of 6,000 tests passed only those came that had found room. (2) Viewers::makeRoom closed the one that had brought least without reading it: a set-up behind a new connection in the same turn was lost. (3) Viewers::accepted closed the newest unread where all others had something open. Ruled out: idle crowds while the change log is away; half of the descriptors for viewers and a third for media servers leave it its own (new test passes without the change; most streams at once are counted). Change: node::Lingering takes the stream over: sends the rest, half-closes, reads and discards for 1 s or 256 KiB at most, then closes. These count with the viewers' connections and are freed before any of them, so the bound on descriptors is as it was. The one to go for room is read first; one sixteenth of the places is kept for those that come while all others are needed: they are heard, refused (42) and closed. Tests: WhatIsUnsentOutlivesTheClose, ARefusalOutlivesWhatLiesUnreadBehindIt, OneTooManyIsRefusedAndNotCutOff, WhatLiesUnreadIsReadBeforeItsConnectionIsClosedForRoom: each seen to fail with its mend taken out. VirtualNode counts the streams that it holds, for the test.

--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -25,7 +25,10 @@
 
 class VirtualWorld::StreamHere final : public Stream {
   public:
-    StreamHere(VirtualWorld& world, std::shared_ptr<End> end) : world_(world), end_(std::move(end)) {}
+    StreamHere(VirtualWorld& world, std::shared_ptr<End> end) : world_(world), end_(std::move(end)) {
+        VirtualNode& node = *end_->node;
+        node.mostStreams_ = std::max(node.mostStreams_, ++node.streams_);
+    }
     ~StreamHere() override { close(end_->node->crashing || end_->unread() > 0); }
 
     Moved read(std::span<char> into) override {
@@ -105,6 +108,7 @@
     }
     void close(bool hard) {
         if (!std::exchange(end_->open, false)) return;
+        --end_->node->streams_;
         const auto peer = end_->peer.lock();
         end_->keeps.reset();
         if (!peer) return;
--- a/src/net/virtual.hpp
+++ b/src/net/virtual.hpp
@@ -46,6 +46,7 @@
     Micros wallSkew = 0;  // of its wall clock
     // Real time spent in what happened to it: the cost of its code, where nothing else takes the CPU.
     double busySeconds() const { return busy_; }
+    std::size_t mostStreams() const { return mostStreams_; }  // that it held at once
 
   private:
     friend class VirtualWorld;
@@ -57,6 +58,7 @@
     bool stands_ = false;
     std::deque<std::function<void()>> waits_;
     double busy_ = 0;
+    std::size_t streams_ = 0, mostStreams_ = 0;
 };
 
 class VirtualWorld {
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -109,7 +109,11 @@
           key(key),
           since(all.net_.now()),
           wire(all.net_, std::move(stream),
-               Wire::Limits{kLongestLine, all.limits_.unsent, all.limits_.unfinished}, *this) {}
+               Wire::Limits{kLongestLine, all.limits_.unsent, all.limits_.unfinished}, *this,
+               all.lingering_) {}
+    // By which it may be closed for room, the least first.
+    auto brought() const { return std::tuple(played, asked, proven, wire.heardAt()); }
+    bool needed() const { return !open.empty() || standing > 0; }
     void line(std::string_view bytes) override { all.heard(*this, bytes); }
     void gone(Gone how) override {
         if (how == Gone::Garbled) ++all.counts_.unreadable;
@@ -120,6 +124,7 @@
     Micros since;
     // It has brought something of use; a set-up; one that played.
     bool proven = false, asked = false, played = false;
+    bool tooMany = false;  // accepted where there was no room: its set-ups are refused
     std::set<SubId> open;  // set-ups without an answer
     int useless = 0;
     std::size_t standing = 0;  // subscriptions that were set up on it
@@ -139,6 +144,7 @@
       where_(where),
       limits_(limits),
       asked_(std::move(asked)),
+      lingering_(net, {limits.connections, limits.linger, limits.lingerBytes}),
       buryTimer_(net, [this] { dead_.clear(); }),
       tidyTimer_(net, [this] { tidy(); }) {}
 Viewers::~Viewers() = default;
@@ -150,28 +156,47 @@
 
 // ================= connections =================
 
+// Some places are kept for those that come while all others are needed: they are heard, refused and closed.
 void Viewers::accepted(std::unique_ptr<net::Stream> stream) {
     ++counts_.accepted;
-    if (conns_.size() >= limits_.connections) makeRoom();
-    if (conns_.size() >= limits_.connections) return;  // closed as it goes
+    const std::size_t kept = std::max<std::size_t>(1, limits_.connections / 16);
+    const bool room = makeRoom(limits_.connections - kept, false);
+    const bool bounded = room || makeRoom(limits_.connections, true);
     const std::uint64_t key = nextConn_++;
     Conn& conn = *(conns_[key] = std::make_unique<Conn>(*this, key, std::move(stream)));
-    // Most ask as soon as they are connected: in a crowd one must not be closed for room before it was read.
+    conn.tooMany = !room;
+    // What it has brought already is read before anything ends it: most ask as soon as they are connected.
     conn.wire.readNow();
+    if (!bounded && !conn.wire.isClosed()) drop(conn);
 }
 
 // A crowd that connects and says nothing, or no more than a test, must not keep out those that ask, nor cut
 // off those that play: the least that it has brought goes first, then the longest silent. One on which
-// something plays is never taken, as its end must be said there.
-void Viewers::makeRoom() {
-    Conn* pick = nullptr;
-    const auto rank = [](const Conn& c) { return std::tuple(c.played, c.asked, c.proven, c.wire.heardAt()); };
-    for (const auto& [key, conn] : conns_)
-        if (conn->open.empty() && conn->standing == 0 && (!pick || rank(*conn) < rank(*pick)))
-            pick = conn.get();
-    if (!pick) return;
-    ++counts_.evicted;
-    drop(*pick);
+// something plays is never taken, as its end must be said there. What lies unread on the one to go is read
+// first, as it may be a set-up; it goes if that brought nothing. False where there is none to go.
+bool Viewers::makeRoom(std::size_t limit, bool alsoTooMany) {
+    for (std::size_t looks = conns_.size(); conns_.size() + lingering_.size() >= limit;) {
+        if (lingering_.size() > 0) {
+            lingering_.freeOldest();
+            continue;
+        }
+        Conn* pick = nullptr;
+        for (const auto& [key, conn] : conns_)
+            if (!conn->needed() && (alsoTooMany || !conn->tooMany) &&
+                (!pick || conn->brought() < pick->brought()))
+                pick = conn.get();
+        if (!pick) return false;
+        const auto before = pick->brought();
+        pick->wire.readNow();
+        if (pick->wire.isClosed()) continue;  // by what it had brought
+        if (pick->needed() || pick->brought() != before) {
+            if (looks-- > 0) continue;
+            return false;  // guards against a crowd that says something at each look
+        }
+        ++counts_.evicted;
+        drop(*pick);
+    }
+    return true;
 }
 
 void Viewers::drop(Conn& conn) {
@@ -290,10 +315,11 @@
         return;
     }
     ++counts_.setups;
-    const auto id =
-        conn.open.size() < limits_.openOnOne ? core_->ask(*this, request->wish, request->left) : std::nullopt;
+    const bool taken = !conn.tooMany && conn.open.size() < limits_.openOnOne;
+    const auto id = taken ? core_->ask(*this, request->wish, request->left) : std::nullopt;
     if (!id) {
         conn.wire.say(lineOf(finish(m.tag, kBusy)));
+        if (conn.tooMany) drop(conn);
         return;
     }
     Asking& asking = asking_[*id];
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -28,7 +28,9 @@
     Micros tellFor = 8'000'000;       // a release that no connection takes is kept for so long
     Micros tellAnyAfter = 3'000'000;  // where no connection of viewers that play stands
     std::size_t toTell = 4'096;       // of them
-    Micros cutWithin = 400'000;       // a media server confirms the end of what its viewer left
+    Micros linger = kSecond;          // a connection that was just told something, past its close
+    std::size_t lingerBytes = 256 * 1024;
+    Micros cutWithin = 400'000;  // a media server confirms the end of what its viewer left
 };
 
 struct ViewerCounts {
@@ -61,6 +63,7 @@
     // All that plays is released, here and at its media server; for the end of this front.
     void releaseAll();
     std::size_t connections() const { return conns_.size(); }
+    std::size_t lingering() const { return lingering_.size(); }
     const ViewerCounts& counts() const { return counts_; }
 
   private:
@@ -88,7 +91,7 @@
     void tell(SubId, const Message&, bool release);
     void release(SubId, int cause);
     void sayWaiting();
-    void makeRoom();
+    bool makeRoom(std::size_t limit, bool alsoTooMany);
     void tidy();
 
     net::Net& net_;
@@ -99,6 +102,7 @@
     core::Core* core_ = nullptr;
     Servers* servers_ = nullptr;
     std::unique_ptr<net::Listener> listener_;
+    Lingering lingering_;  // counted with the connections, and freed before any of them
     std::map<std::uint64_t, std::unique_ptr<Conn>> conns_;
     std::uint64_t nextConn_ = 1;
     std::map<SubId, Asking> asking_;
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -1,5 +1,6 @@
 #include "node/wire.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace valekeel::node {
@@ -26,8 +27,88 @@
       more_(net, [this] { readable(); }),
       unfinished_(net, [this] { lose(Gone::Garbled); }) {}
 
-Wire::Wire(net::Net& net, std::unique_ptr<net::Stream> stream, const Limits& limits, WireUser& user)
+// ================= lingering close =================
+
+class Lingering::One final : public net::StreamUser {
+  public:
+    One(Lingering& all, std::unique_ptr<net::Stream> stream, std::string unsent)
+        : all_(all),
+          stream_(std::move(stream)),
+          out_(std::move(unsent)),
+          late_(all.net_, [this] { all_.end(*this); }),
+          more_(all.net_, [this] { readable(); }) {
+        stream_->handTo(*this);
+        late_.after(all_.limits_.time);
+        more_.soon();  // what lies there unread makes no further edge
+        writable();
+    }
+    void readable() override {
+        std::array<char, 8192> buffer;
+        for (std::size_t left = kPortion; left > 0 && stream_;) {
+            const net::Moved got = stream_->read(buffer);
+            if (got.then == net::Moved::Then::Again) return;
+            // After the end of its writing it may still read: what is unsent here goes on.
+            if (got.then == net::Moved::Then::Ended && !out_.empty()) return;
+            discarded_ += got.bytes;
+            if (got.then != net::Moved::Then::More || discarded_ > all_.limits_.discarded)
+                return all_.end(*this);
+            left -= std::min(left, got.bytes);
+        }
+        if (stream_) more_.soon();
+    }
+    void writable() override {
+        if (!stream_ || finished_) return;
+        const net::Moved put = stream_->write(out_);
+        out_.erase(0, put.bytes);
+        if (put.then == net::Moved::Then::Broken) return more_.soon();  // reading finds it, and ends this
+        if (!out_.empty()) return;
+        finished_ = true;
+        stream_->finishWriting();
+        more_.soon();
+    }
+    void free() {
+        late_.cancel();
+        more_.cancel();
+        stream_.reset();
+    }
+
+  private:
+    Lingering& all_;
+    std::unique_ptr<net::Stream> stream_;
+    std::string out_;
+    std::size_t discarded_ = 0;
+    bool finished_ = false;
+    net::Timer late_, more_;
+};
+
+Lingering::Lingering(net::Net& net, const Limits& limits)
+    : net_(net), limits_(limits), bury_(net, [this] { dead_.clear(); }) {}
+Lingering::~Lingering() = default;
+
+void Lingering::take(std::unique_ptr<net::Stream> stream, std::string unsent) {
+    if (all_.size() >= limits_.most) freeOldest();
+    all_.push_back(std::make_unique<One>(*this, std::move(stream), std::move(unsent)));
+}
+
+void Lingering::freeOldest() {
+    if (!all_.empty()) end(*all_.front());
+}
+
+// The descriptor is free at once; the rest a turn later, as this may be called from within.
+void Lingering::end(One& one) {
+    one.free();
+    const auto it =
+        std::find_if(all_.begin(), all_.end(), [&](const auto& held) { return held.get() == &one; });
+    dead_.splice(dead_.end(), all_, it);
+    bury_.soon();
+}
+
+// ================= wires =================
+
+Wire::Wire(net::Net& net, std::unique_ptr<net::Stream> stream, const Limits& limits, WireUser& user,
+           Lingering& lingering)
     : Wire(net, State::Open, limits, user) {
+    lingering_ = &lingering;
     stream_ = std::move(stream);
     stream_->handTo(*this);
 }
@@ -126,17 +207,27 @@
 
 void Wire::lose(Gone how) {
     if (state_ == State::Closed) return;
-    close();
+    // One that has gone, or does not read, is owed nothing more; one that has only finished writing may still
+    // read what is unsent here.
+    const bool reads = how == Gone::Garbled || (how == Gone::Closed && !out_.empty());
+    shut(reads ? How::Lingering : How::AtOnce);
     user_.gone(how);
 }
 
 void Wire::close(bool hard) {
+    shut(hard ? How::Reset : How::Lingering);
+}
+
+void Wire::shut(How how) {
     if (state_ == State::Closed) return;
     // A connect that failed is told from within the stream: that one dies with this wire.
     if (state_ == State::Connecting)
         failed_ = std::move(stream_);
-    else if (hard)
+    else if (how == How::Reset)
         stream_->reset();
+    else if (how == How::Lingering && lingering_ &&
+             (!out_.empty() || (said_ > 0 && net_.now() - usedAt_ < lingering_->time())))
+        lingering_->take(std::move(stream_), std::move(out_));
     state_ = State::Closed;
     late_.cancel();
     more_.cancel();
--- a/src/node/wire.hpp
+++ b/src/node/wire.hpp
@@ -2,6 +2,7 @@
 // else waiting; holds at most one unfinished line and `most` unsent bytes.
 #pragma once
 
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,13 +31,41 @@
     virtual void gone(Gone) = 0;  // once, and not after close()
 };
 
+// Lingering close: guards against an end that destroys what was said just before it. A close throws away what
+// is unsent here, and one with unread bytes resets the connection, with all that is still on its way. So what
+// is unsent goes out, the writing half is closed, and what still comes is read and discarded until the other
+// side has closed as well, for so long and so many bytes at most.
+class Lingering {
+  public:
+    struct Limits {
+        std::size_t most;  // connections
+        Micros time;
+        std::size_t discarded;
+    };
+    Lingering(net::Net&, const Limits&);
+    ~Lingering();
+    Micros time() const { return limits_.time; }
+    void take(std::unique_ptr<net::Stream>, std::string unsent);
+    void freeOldest();  // its descriptor is needed
+    std::size_t size() const { return all_.size(); }
+
+  private:
+    class One;
+    void end(One&);
+    net::Net& net_;
+    Limits limits_;
+    std::list<std::unique_ptr<One>> all_, dead_;
+    net::Timer bury_;
+};
+
 class Wire final : private net::StreamUser {
   public:
     struct Limits {
         std::size_t line, unsent;
         Micros unfinished;  // how long a line may stay unfinished
     };
-    Wire(net::Net&, std::unique_ptr<net::Stream>, const Limits&, WireUser&);                // accepted
+    // Accepted. What was said on it lately outlives its close in `lingering`.
+    Wire(net::Net&, std::unique_ptr<net::Stream>, const Limits&, WireUser&, Lingering& lingering);
     Wire(net::Net&, const net::Endpoint&, Micros connectWithin, const Limits&, WireUser&);  // connects
     ~Wire() override;
 
@@ -46,7 +75,8 @@
     std::uint64_t taken() const { return taken_; }  // bytes that the kernel has taken
     bool isOpen() const { return state_ == State::Open; }
     bool isClosed() const { return state_ == State::Closed; }
-    // What is unsent goes out if it goes at once. `hard`: the other side sees a reset.
+    std::size_t unsent() const { return out_.size(); }
+    // `hard`: the other side sees a reset.
     void close(bool hard = false);
     Micros heardAt() const { return heardAt_; }
     Micros usedAt() const { return usedAt_; }
@@ -60,6 +90,8 @@
     void writable() override;
     void flush();
     void lose(Gone);
+    enum class How { Reset, AtOnce, Lingering };
+    void shut(How);
     bool takeLines(std::string_view bytes);
 
     net::Net& net_;
@@ -71,6 +103,7 @@
     Micros heardAt_, usedAt_;
     net::Timer late_, more_, unfinished_;
     std::unique_ptr<net::Stream> stream_, failed_;
+    Lingering* lingering_ = nullptr;
 };
 
 }  // namespace valekeel::node
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -2,6 +2,9 @@
 // then.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
+
 #include "node_day.hpp"
 
 namespace valekeel {
@@ -9,6 +12,143 @@
 
 using namespace nodeday;
 
+// Reads only when it is told to.
+struct LateReader final : net::StreamUser {
+    LateReader(net::Net& net, const net::Endpoint& at) : stream(net.connect(at, *this)) {}
+    void connected() override {
+        ready = true;
+        writable();
+    }
+    void readable() override {}
+    void writable() override {
+        if (ready) out.erase(0, stream->write(out).bytes);
+    }
+    void say(const std::string& bytes) {
+        out += bytes;
+        writable();
+    }
+    // False once nothing more comes.
+    bool readOn() {
+        std::array<char, 4096> buffer;
+        for (;;) {
+            const net::Moved now = stream->read(buffer);
+            if (now.then != net::Moved::Then::More) {
+                broken = now.then == net::Moved::Then::Broken;
+                return now.then == net::Moved::Then::Again;
+            }
+            got.append(buffer.data(), now.bytes);
+        }
+    }
+    std::ptrdiff_t lines() const { return std::count(got.begin(), got.end(), '\n'); }
+    bool ready = false, broken = false;
+    std::string out, got;
+    std::unique_ptr<net::Stream> stream;
+};
+
+const std::string kTest = R"({"verb":"ECHO","tag":"0000000000000063","opts":{},"rc":0})"
+                          "\n";
+
+// Guards against a close that throws away what the other side has no room for yet.
+TEST(NodeViewers, WhatIsUnsentOutlivesTheClose) {
+    VirtualDay day;
+    LateReader late(day.machine(13), day.front->at());
+    std::string all;
+    for (int i = 0; i < 6000; ++i) all += kTest;
+    late.say(all + "noise\n");
+    day.run(300'000);
+    while (late.readOn()) day.run(1'000);
+    EXPECT_EQ(late.lines(), 6000);
+    EXPECT_FALSE(late.broken);
+}
+
+// Guards against a close with unread bytes: it resets the connection, and with it what was just answered.
+TEST(NodeViewers, ARefusalOutlivesWhatLiesUnreadBehindIt) {
+    VirtualDay day;
+    LateReader late(day.machine(13), day.front->at());
+    const std::string bad = VirtualDay::start(77, "unheard").dump() + "\n";
+    late.say(bad + bad + bad + bad + std::string(12'000, 'x'));
+    day.run(300'000);
+    EXPECT_FALSE(late.readOn());
+    EXPECT_EQ(late.lines(), 4);
+    EXPECT_FALSE(late.broken);
+}
+
+// No descriptor is held for one that neither reads nor closes.
+TEST(NodeViewers, ALingeringCloseEnds) {
+    VirtualDay day;
+    LateReader endless(day.machine(13), day.front->at());
+    const std::string bad = VirtualDay::start(77, "unheard").dump() + "\n";
+    endless.say(bad + bad + bad + bad);
+    day.run(100'000);
+    for (int i = 0; i < 100; ++i) {
+        endless.say(std::string(10'000, 'x'));
+        day.run(1'000);
+    }
+    endless.readOn();
+    EXPECT_TRUE(endless.broken);  // it talks on
+    LateReader still(day.machine(13), day.front->at());
+    still.say(bad + bad + bad + bad);
+    day.run(1'500'000);
+    still.say("x");
+    day.run(100'000);
+    still.readOn();
+    EXPECT_TRUE(still.broken);  // nobody is there any more
+}
+
+// Where all are needed, one that comes is heard and refused: it is not just closed.
+TEST(NodeViewers, OneTooManyIsRefusedAndNotCutOff) {
+    VirtualDay day;
+    for (const auto& s : day.servers) s->does = [](const std::string&) { return Does::Nothing; };
+    std::vector<std::unique_ptr<standins::PlatformLine>> all;
+    for (int n = 1; n <= 130; ++n) {
+        all.push_back(day.line());
+        all.back()->say(VirtualDay::start(n, "talk", "t" + std::to_string(n)));
+        day.run(1'000);
+    }
+    for (int n = 121; n <= 130; ++n) EXPECT_EQ(day.said(n), "42") << n;
+    day.run(100'000);
+    EXPECT_TRUE(all.back()->ended());
+    EXPECT_FALSE(all.front()->ended());
+}
+
+// A set-up that lies unread while a new connection asks for room: the connection that brought it stays.
+TEST(NodeViewers, WhatLiesUnreadIsReadBeforeItsConnectionIsClosedForRoom) {
+    Day<Sockets> day;
+    std::vector<std::unique_ptr<standins::PlatformLine>> silent;
+    for (int i = 0; i < 119; ++i) {
+        silent.push_back(day.line());
+        day.run(1'000);
+    }
+    const auto next = day.line();  // waits to be accepted, and the set-up to be read behind that
+    day.viewers->say(VirtualDay::start(1));
+    EXPECT_TRUE(day.loop.until([&] { return day.said(1) == "+"; }, 2 * kSecond));
+}
+
+// Idle connections, tests and a change log that is away: the list, media servers and viewers get theirs.
+TEST(NodeViewers, ACrowdLeavesDescriptorsForTheChangeLogAndMediaServers) {
+    VirtualDay day;
+    const net::Endpoint at = day.log->at();
+    day.log.reset();
+    std::vector<std::unique_ptr<standins::PlatformLine>> crowd;
+    for (int i = 0; i < 600; ++i) {
+        crowd.push_back(std::make_unique<standins::PlatformLine>(day.machine(13), day.front->at(),
+                                                                 [](auto&, const Json&) {}));
+        if (i % 2) crowd.back()->bytes(kTest);
+        if (i % 20 == 0) day.run(10'000);
+    }
+    day.log = std::make_unique<standins::PlatformLog>(day.machine(10), at);
+    day.log->last = 1;
+    day.log->add({{0, day.servers[0]->at(), 1, 0}});
+    day.run(500'000);
+    ASSERT_FALSE(day.log->asked.empty());
+    day.viewers = day.line();
+    for (int n = 1; n <= 10; ++n) day.ask(n, "talk", "t" + std::to_string(n));
+    day.run(kSecond);
+    for (int n = 1; n <= 10; ++n) EXPECT_EQ(day.said(n), "+") << n;
+    EXPECT_TRUE(day.servers[0]->setups.empty());
+    EXPECT_LE(day.nodes[11]->mostStreams(), 256u / 2 + 256 / 3 + 2);
+}
+
 // A fresh process is handed what plays as soon as it has passed its first test.
 TEST(NodeViewers, HandedOverRightBehindTheFirstTest) {
     VirtualDay day;
