Set-ups leave only while what allowed them holds; owed ends are paid at the next connection

Seen by reading, then forced on the virtual net: Servers::join (servers.cpp) wrote a set-up into the buffer of a connection that was not up or whose peer did not read, and Wire sent it whenever that opened: to nobody (its viewer had left, paid or free), or to a server that drained meanwhile. Core::join's deferred send looked at neither 'left' nor the answer. cut() and release() said an end into a connecting stream, where it was lost when that failed, and what played on behind a cut was never ended there. Servers::at and startedAnew left connections to the old place or process in use.

Change: a set-up waits at its link and is handed to the kernel at one place (sendWaiting), only while the connection stands and has taken all before it; taken back when its viewer goes (Sender::withdraw for paid ones), its time ends, its server drains, starts anew or is off. Ends are kept in a bounded list for each server until heard of, said again if their connection breaks, with a connection opened for them under a doubling back-off. The list's news reach the module before the servers' side takes anything back.

--- a/src/boxes/joins.cpp
+++ b/src/boxes/joins.cpp
@@ -99,6 +99,11 @@
     ended(id, joinNo, end, Load{}, 0);
 }
 
+void Joins::withdraw(SubId id, int joinNo) {
+    const auto it = out_.find(id);
+    if (it != out_.end() && !it->second->request->wroteAny()) cancel(id, joinNo);
+}
+
 void Joins::ended(SubId id, int joinNo, WireEnd end, Load load, Micros took) {
     const auto it = out_.find(id);
     if (it == out_.end()) return;
--- a/src/boxes/joins.hpp
+++ b/src/boxes/joins.hpp
@@ -53,6 +53,7 @@
 
     void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) override;
     void cancel(SubId, int joinNo) override;
+    void withdraw(SubId, int joinNo) override;
     void release(SubId, SfuId) override;
     void followList() override { follow_(); }
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -108,12 +108,14 @@
         drop(id, "left");
     } else {
         tell([&] { decides_->viewerLeft(now, id); });
-        // What a join that is out comes to is still awaited. One that may be repeated is called off; a paid
-        // one runs to its end, and its place is given back then.
+        // What a join that is out comes to is still awaited. One that may be repeated is called off. A paid
+        // one that may have left runs to its end, and its place is given back then.
         if (!sub.joinOut)
             drop(id, "left");
-        else if (!rooms_[sub.wish.room.v].paid)
-            after([this, id, joinNo = sub.joins - 1] { sender_.cancel(id, joinNo); });
+        else
+            after([this, id, joinNo = sub.joins - 1, paid = rooms_[sub.wish.room.v].paid] {
+                paid ? sender_.withdraw(id, joinNo) : sender_.cancel(id, joinNo);
+            });
     }
 }
 
@@ -252,6 +254,9 @@
         const auto found = subs_.find(id);
         if (found == subs_.end()) return;
         const Sub& s = found->second;
+        // Whoever has gone since, or has been answered, gets nothing set up.
+        if (s.left || s.state == State::Answered)
+            return joined(id, joinNo, {JoinEnd::NeverSent, true, 0, {}, "its viewer has gone"});
         watcher_.joinSent(id, joinNo, at, s.rung, until - net_.now());
         sender_.join(id, joinNo, at, s.rung, until - net_.now(), rooms_[s.wish.room.v].paid);
     });
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -46,12 +46,15 @@
 
 class Core;
 
-// Who sends joins. Never calls back within join().
+// Who sends joins. Never calls back within join(). What waits there, for a connection or for a peer that does
+// not read, must be held back until it can leave: until then whatever allowed it may cease to hold.
 class Sender {
   public:
     virtual ~Sender() = default;
     virtual void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) = 0;
     virtual void cancel(SubId, int joinNo) = 0;  // its outcome comes all the same
+    // The same, but only where provably nothing of it has left this front; else it runs on.
+    virtual void withdraw(SubId, int joinNo) = 0;
     // What plays, or may, is to end there: the place is given back.
     virtual void release(SubId, SfuId) = 0;
     virtual void followList() = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -154,16 +154,17 @@
     }
     void take(const ChangeEvent& event, bool stale) {
         std::vector<ListedSfu> entries;
+        std::vector<std::pair<SfuId, Micros>> anew;
         std::set<SfuId> named;
         for (const list::BoxLine& line : event.boxes) {
             ListedSfu entry = line.sfu;
             entry.launched = onOurClock(line.sfu.launched);
             entries.push_back(entry);
             named.insert(entry.id);
-            if (entry.standing != Standing::Off) servers.at(entry.id, line.at);
-            auto it = listed.find(entry.id);
-            const bool anew = it != listed.end() && entry.launched > it->second.launched;
-            if (anew) servers.startedAnew(entry.id, entry.launched);
+            if (entry.standing != Standing::Off && !servers.knows(entry.id)) servers.at(entry.id, line.at);
+            const auto it = listed.find(entry.id);
+            if (it != listed.end() && entry.launched > it->second.launched)
+                anew.emplace_back(entry.id, entry.launched);
             if (entry.standing == Standing::Off)
                 listed.erase(entry.id);
             else
@@ -178,8 +179,15 @@
         } else {
             core.listChanged(entries);
         }
-        for (const ListedSfu& entry : entries)
+        // Only now: what the servers' side takes back is placed again at once, by what the module has just
+        // heard.
+        for (const list::BoxLine& line : event.boxes)
+            if (line.sfu.standing != Standing::Off) servers.at(line.sfu.id, line.at);
+        for (const auto& [id, launched] : anew) servers.startedAnew(id, launched);
+        for (const ListedSfu& entry : entries) {
             if (entry.standing == Standing::Off) off.push_back(entry.id);
+            if (entry.standing == Standing::Fading) servers.drains(entry.id);
+        }
         for (const SfuId id : off) servers.off(id);
     }
     void changed(const ChangeEvent& event) override {
@@ -275,6 +283,10 @@
                {"unknown", s.unknown},
                {"early", s.early},
                {"figures", s.figures},
+               {"withdrawn", s.withdrawn},
+               {"owed", servers.owed()},
+               {"ends_paid_late", s.endsPaidLate},
+               {"ends_dropped", s.endsDropped},
                {"notes", s.notes},
                {"looked_for", s.lookedFor},
                {"found_gone", s.foundGone}}}});
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -1,6 +1,7 @@
 #include "node/servers.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace valekeel::node {
 namespace {
@@ -37,6 +38,8 @@
 
 constexpr std::size_t kMostEarly = 4;
 constexpr Micros kTidyEvery = 100'000;
+constexpr Micros kSettled = 2 * kSecond;  // an end said so long ago, on a connection that stands, has arrived
+constexpr Micros kPayAgainAtMost = 2 * kSecond;
 constexpr int kCut = 41;  // the cause of what was cut
 
 }  // namespace
@@ -66,6 +69,7 @@
     Link(Servers& all, Server& server, const net::Endpoint& to, const Wire::Limits& limits)
         : all(all), server(&server), wire(all.net_, to, all.limits_.connectWithin, limits, *this) {}
     void opened() override;
+    void drained() override { all.sendWaiting(*this); }
     void line(std::string_view bytes) override {
         const auto message = messageOf(bytes);
         // After what can't be read nothing on this connection can be trusted to begin where it should.
@@ -83,7 +87,9 @@
     Servers& all;
     Server* server;  // nothing once it is buried
     std::set<SubId> out;
-    bool doubted = false;  // silent while it should speak: takes no more joins
+    std::deque<SubId> waiting;  // of those, what the kernel has not been handed yet
+    bool doubted = false;       // silent while it should speak: takes no more joins
+    Micros openedAt = 0;
     Wire wire;
 };
 
@@ -94,6 +100,15 @@
     std::set<SubId> standing;
     Micros heardAt = 0, lookAt = 0;
     int failedLooks = 0;
+    // What is to be ended there: given up on, or left. Not said yet, or said and not heard of yet.
+    struct Owed {
+        std::string tag;
+        Micros since;
+        Link* saidOn;
+        Micros saidAt;
+    };
+    std::deque<Owed> owed;
+    Micros payAt = 0, payPause = 0;  // when a connection is opened for it, and the pause after that
 };
 
 // A set-up that is out, or a subscription that stands.
@@ -104,16 +119,21 @@
     bool stands = false, cut = false;
     Micros since = 0;        // it stands; long ago for what was handed over
     Link* link = nullptr;    // while it is out
+    bool sent = false;       // handed to the kernel; until then it waits on its link
     std::uint64_t from = 0;  // where it begins on it
-    Micros sentAt = 0;
+    int rung = 0;
+    Micros askedAt = 0, sentAt = 0, until = 0;
     std::unique_ptr<net::Timer> late;
     std::vector<Message> early;  // notes that came before the answer
 };
 
 void Servers::Link::opened() {
     ++all.counts_.connects;
-    server->heardAt = all.net_.now();
+    openedAt = server->heardAt = all.net_.now();
     server->failedLooks = 0;
+    server->payPause = 0;
+    all.pay(*server);  // before anything new: an end may be of the same id
+    all.sendWaiting(*this);
 }
 
 Servers::Servers(net::Net& net, const ServerLimits& limits, ServersUser& user)
@@ -145,6 +165,11 @@
     return static_cast<std::size_t>(
         std::count_if(held_.begin(), held_.end(), [](const auto& one) { return !one.second.stands; }));
 }
+std::size_t Servers::owed() const {
+    std::size_t count = 0;
+    for (const auto& [id, server] : servers_) count += server->owed.size();
+    return count;
+}
 
 // ================= from the list =================
 
@@ -154,23 +179,45 @@
         server = std::make_unique<Server>();
         server->id = id;
     }
+    if (server->at == to) return;
     server->at = to;
+    // What is connected to the old place may be anybody's by now.
+    closeLinks(*server, std::numeric_limits<Micros>::max());
 }
 
 void Servers::off(SfuId id) {
-    Server* server = find(id);
-    if (!server) return;
-    while (!server->links.empty()) {
-        Link& link = *server->links.back();
-        link.wire.close();
-        linkGone(link, Gone::Closed);
-    }
+    const auto it = servers_.find(id);
+    if (it == servers_.end()) return;
+    const std::unique_ptr<Server> server = std::move(it->second);  // from here on nothing is sent there
+    servers_.erase(it);
+    server->owed.clear();
+    takeBackAll(*server, "its media server is off");
+    closeLinks(*server, std::numeric_limits<Micros>::max());
     allOver(*server, net_.now() + 1);
-    servers_.erase(id);
+}
+
+void Servers::drains(SfuId id) {
+    if (Server* server = find(id)) takeBackAll(*server, "its media server drains");
 }
 
 void Servers::startedAnew(SfuId id, Micros launched) {
-    if (Server* server = find(id)) allOver(*server, launched);
+    Server* server = find(id);
+    if (!server) return;
+    // The new process knows nothing of what was owed to the old one, nor does it listen on its connections: a
+    // machine that vanished closed none. What waits was allowed while the server counted as warm.
+    std::erase_if(server->owed, [&](const Server::Owed& one) { return one.since < launched; });
+    takeBackAll(*server, "its media server has started anew");
+    closeLinks(*server, launched);
+    allOver(*server, launched);
+}
+
+// Those that have been up since before that time; those still connecting as well, where it is all of them.
+void Servers::closeLinks(Server& server, Micros before) {
+    std::vector<Link*> old;
+    for (const auto& link : server.links)
+        if (before == std::numeric_limits<Micros>::max() || (link->wire.isOpen() && link->openedAt < before))
+            old.push_back(link.get());
+    for (Link* link : old) closeLink(*link);
 }
 
 // ================= links =================
@@ -200,6 +247,11 @@
     if (Link* link = linkFor(server, false, false)) link->wire.say(line);
 }
 
+void Servers::closeLink(Link& link) {
+    link.wire.close();
+    linkGone(link, Gone::Closed);
+}
+
 void Servers::linkGone(Link& link, Gone how) {
     Server& server = *link.server;
     if (how == Gone::Refused) ++counts_.refused;
@@ -213,14 +265,26 @@
     gone->server = nullptr;
     --openLinks_;
     const std::set<SubId> out = std::move(gone->out);
+    gone->waiting.clear();
     const std::uint64_t taken = gone->wire.taken();
+    bool again = false;
+    for (Server::Owed& one : server.owed)
+        if (one.saidOn == gone.get()) {  // it may not have arrived: it is said once more
+            one.saidOn = nullptr;
+            again = true;
+        }
     bury(std::move(gone));
+    if (again) pay(server);
     if (how == Gone::Refused || how == Gone::NoConnect) {
         ++server.failedLooks;
         server.lookAt = net_.now() + limits_.lookAgain;
         // Refused twice: nobody listens, and a dying process cuts what it plays.
         if (server.failedLooks >= (how == Gone::Refused ? 2 : limits_.looks) && !server.standing.empty()) {
             ++counts_.foundGone;
+            // It may be no more than cut off, and go on playing to nobody.
+            for (const SubId id : std::set<SubId>(server.standing))
+                if (const auto held = held_.find(id); held != held_.end())
+                    owe(server, held->second.tag, nullptr);
             allOver(server, net_.now() + 1);
         }
     } else if (how != Gone::NoSocket) {
@@ -232,7 +296,7 @@
         core::JoinOutcome outcome;
         outcome.why = nameOf(how);
         // What the kernel here never took can't have been read there.
-        outcome.neverRan = taken <= held->second.from;
+        outcome.neverRan = !held->second.sent || taken <= held->second.from;
         outcome.end = how == Gone::NoSocket ? JoinEnd::NeverSent
                       : outcome.neverRan    ? JoinEnd::NoConnection
                                             : JoinEnd::Reset;
@@ -258,34 +322,87 @@
     Link* link = words && server ? linkFor(*server, paid, true) : nullptr;
     if (!link || timeOut <= 0)
         return endLater(id, joinNo, {JoinEnd::NeverSent, true, 0, {}, "no way to send it"});
-    Message setup;
-    setup.verb = "START";
-    setup.tag = words->tag;
-    setup.opts["class"] = words->room;
-    setup.opts["key"] = words->title;
-    setup.opts["left"] = std::to_string((timeOut + 999) / 1000);
-    setup.opts["rung"] = std::to_string(rung);
-    setup.description = words->description;
     Held& held = held_[id];
     held.at = at;
     held.tag = words->tag;
     held.joinNo = joinNo;
-    held.stands = held.cut = false;
+    held.stands = held.cut = held.sent = false;
     held.early.clear();
     held.link = link;
-    held.sentAt = net_.now();
+    held.rung = rung;
+    held.askedAt = net_.now();
+    held.until = net_.now() + timeOut;
     held.late = std::make_unique<net::Timer>(net_, [this, id] {
         const auto it = held_.find(id);
         if (it == held_.end() || it->second.stands) return;
         const Held& late = it->second;
-        // Nothing at all since it was sent: the connection may be a dead one.
-        if (late.link->wire.heardAt() <= late.sentAt) late.link->doubted = true;
+        // Nothing at all since it was asked for: the connection may be a dead one.
+        if (late.link->wire.heardAt() <= late.askedAt) late.link->doubted = true;
         giveUp(id, JoinEnd::TimedOut, "timed out");
     });
     held.late->after(timeOut);
     byTag_[held.tag] = id;
     link->out.insert(id);
-    held.from = link->wire.say(lineOf(setup));
+    link->waiting.push_back(id);
+    sendWaiting(*link);
+}
+
+// The one place at which a set-up leaves: handed to the kernel only while the connection stands and has taken
+// all before it. Until then it lies here, and is taken back when what allowed it ends: its viewer leaves, its
+// time runs out, its server drains, starts anew or goes. Guards against a set-up that a connection which
+// comes up late, or a peer that doesn't read, would let out long after the decision.
+void Servers::sendWaiting(Link& link) {
+    while (!link.waiting.empty() && link.wire.canSend()) {
+        const SubId id = link.waiting.front();
+        link.waiting.pop_front();
+        const auto it = held_.find(id);
+        const SetupWords* words = user_.wordsOf(id);
+        if (it == held_.end() || !words || net_.now() >= it->second.until) continue;  // its timer ends it
+        Held& held = it->second;
+        // An end that is owed to an earlier try of the same id must not end this one.
+        auto& owed = link.server->owed;
+        const auto earlier = std::find_if(owed.begin(), owed.end(),
+                                          [&](const Server::Owed& one) { return one.tag == held.tag; });
+        if (earlier != owed.end()) {
+            if (earlier->saidOn != &link) link.wire.say(endOf(held.tag));
+            owed.erase(earlier);
+        }
+        Message setup;
+        setup.verb = "START";
+        setup.tag = words->tag;
+        setup.opts["class"] = words->room;
+        setup.opts["key"] = words->title;
+        setup.opts["left"] = std::to_string((std::max<Micros>(1, held.until - net_.now()) + 999) / 1000);
+        setup.opts["rung"] = std::to_string(held.rung);
+        setup.description = words->description;
+        held.sent = true;
+        held.sentAt = net_.now();
+        held.from = link.wire.say(lineOf(setup));
+    }
+}
+
+// Of what waits on its link: it never left.
+void Servers::takeBack(SubId id, JoinEnd end, const char* why) {
+    const Held& held = held_.at(id);
+    std::erase(held.link->waiting, id);
+    ++counts_.withdrawn;
+    ended(id, {end, true, net_.now() - held.askedAt, {}, why});
+}
+
+void Servers::takeBackAll(Server& server, const char* why) {
+    std::vector<SubId> all;
+    for (const auto& link : server.links) all.insert(all.end(), link->waiting.begin(), link->waiting.end());
+    for (const SubId id : all) {
+        const auto it = held_.find(id);  // the end of one may have set off another's
+        if (it != held_.end() && !it->second.stands && !it->second.sent && it->second.at == server.id)
+            takeBack(id, JoinEnd::NoConnection, why);
+    }
+}
+
+void Servers::withdraw(SubId id, int joinNo) {
+    const auto it = held_.find(id);
+    if (it != held_.end() && !it->second.stands && !it->second.sent && it->second.joinNo == joinNo)
+        takeBack(id, JoinEnd::Cancelled, "its viewer has gone");
 }
 
 void Servers::cancel(SubId id, int joinNo) {
@@ -294,17 +411,14 @@
         giveUp(id, JoinEnd::Cancelled, "called off");
 }
 
-// What lies here unsent would go out later, and run for nobody, or a second time for one that is sent again.
-// On a connection that does not stand yet, which this one was the only one to want, it is taken back with the
-// connection; else it counts as sent, and its end follows it on the same connection.
+// What has left may run, and its end follows it on the same connection. What has not is taken back: where it
+// is too late for that the connection has not come up in time, or its peer does not read.
 void Servers::giveUp(SubId id, JoinEnd end, const char* why) {
     const Held& held = held_.at(id);
+    if (!held.sent) return takeBack(id, end == JoinEnd::TimedOut ? JoinEnd::NoConnection : end, why);
     Link& link = *held.link;
-    if (!link.wire.isOpen() && (end == JoinEnd::TimedOut || link.out.size() == 1)) {
-        link.wire.close();
-        return linkGone(link, Gone::NoConnect);
-    }
     link.wire.say(endOf(held.tag));
+    owe(*link.server, held.tag, &link);
     endSaid_ = id;
     ended(id, {end, false, net_.now() - held.sentAt, {}, why});
     endSaid_ = {};
@@ -327,7 +441,7 @@
     Server* server = find(at);
     const auto it = held_.find(id);
     const bool saidAlready = it != held_.end() ? it->second.cut : endSaid_ == id;
-    if (server && words && !saidAlready) say(*server, endOf(words->tag));
+    if (server && words && !saidAlready) owe(*server, words->tag, nullptr);
     if (it != held_.end() && it->second.stands) forget(id);
 }
 
@@ -335,7 +449,49 @@
     const auto it = held_.find(id);
     if (it == held_.end() || !it->second.stands || it->second.cut) return;
     it->second.cut = true;
-    if (Server* server = find(it->second.at)) say(*server, endOf(it->second.tag));
+    if (Server* server = find(it->second.at)) owe(*server, it->second.tag, nullptr);
+}
+
+// ================= ends that are owed =================
+
+// Whatever may stand there for nobody is to be ended there, also where no connection stands now or the one on
+// which that was said breaks: what is lost would hold its seat and its part of the link for good.
+void Servers::owe(Server& server, const std::string& tag, Link* saidOn) {
+    if (server.owed.size() >= limits_.owed) {
+        ++counts_.endsDropped;
+        server.owed.pop_front();
+    }
+    server.owed.push_back({tag, net_.now(), saidOn, net_.now()});
+    if (!saidOn) pay(server);
+}
+
+void Servers::pay(Server& server) {
+    const auto unsaid = [](const Server::Owed& one) { return !one.saidOn; };
+    if (std::none_of(server.owed.begin(), server.owed.end(), unsaid)) return;
+    Link* pick = nullptr;
+    for (const auto& link : server.links)
+        if (link->wire.isOpen() && !link->doubted && (!pick || link->wire.heardAt() > pick->wire.heardAt()))
+            pick = link.get();
+    if (!pick) return lookForPay(server);
+    for (Server::Owed& one : server.owed) {
+        if (one.saidOn) continue;
+        pick->wire.say(endOf(one.tag));
+        counts_.endsPaidLate += one.since < net_.now();
+        one.saidOn = pick;
+        one.saidAt = net_.now();
+    }
+}
+
+// Opens a connection for what is owed, and again after a pause that doubles while none comes up.
+void Servers::lookForPay(Server& server) {
+    const Micros now = net_.now();
+    const bool connecting = std::any_of(server.links.begin(), server.links.end(), [](const auto& link) {
+        return !link->wire.isOpen() && !link->wire.isClosed();
+    });
+    if (connecting || now < server.payAt) return;
+    server.payPause = std::clamp(2 * server.payPause, limits_.lookAgain, kPayAgainAtMost);
+    server.payAt = now + server.payPause;
+    open(server);
 }
 
 void Servers::setRung(SubId id, int rung) {
@@ -385,16 +541,19 @@
         told.verb = "FINISHED";
         told.tag = message.tag;
         link.wire.say(lineOf(told));
+        // It is over there, whoever ended it.
+        std::erase_if(server.owed,
+                      [&](const Server::Owed& one) { return one.saidOn && one.tag == message.tag; });
     }
     // What nobody here waits for at this server: of a set-up given up on, told twice, or never asked for.
-    if (it == held_.end() || it->second.at != server.id) {
+    if (it == held_.end() || it->second.at != server.id || (!it->second.stands && !it->second.sent)) {
         ++counts_.unknown;
         return odd_("about no subscription held there", lineOf(message));
     }
     const SubId id = it->first;
     Held& held = it->second;
     if (held.stands) return standingHeard(id, held, message);
-    const Micros took = net_.now() - held.sentAt;
+    const Micros took = net_.now() - held.askedAt;
     // What is said at set-up may come before the answer does: it is the freshest figure there is of this
     // server.
     if (message.verb == "NOTICE") {
@@ -501,6 +660,13 @@
         Server* server = find(id);
         if (!server) continue;
         look(*server);
+        std::erase_if(server->owed, [&](const Server::Owed& one) {
+            const bool arrived = one.saidOn && !one.saidOn->doubted && now - one.saidAt > kSettled;
+            const bool late = now - one.since > limits_.owedFor;
+            counts_.endsDropped += late && !arrived;
+            return arrived || late;
+        });
+        pay(*server);
         std::vector<Link*> idle;
         std::size_t good = 0;
         for (const auto& link : server->links) good += link->wire.isOpen() && !link->doubted;
@@ -513,10 +679,7 @@
                 good -= !link->doubted;
             }
         }
-        for (Link* link : idle) {
-            link->wire.close();
-            linkGone(*link, Gone::Closed);
-        }
+        for (Link* link : idle) closeLink(*link);
     }
 }
 
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -31,6 +31,8 @@
     int looks = 4;                    // that fail before what stood there is taken to be over
     std::size_t unsent = 256 * 1024;  // bytes, on one connection
     Micros unfinished = 400'000;      // how long a line may stay unfinished
+    std::size_t owed = 512;           // ends that one server has not been told yet; the oldest go first
+    Micros owedFor = 30'000'000;      // an end that no connection takes is kept for so long
 };
 
 // What of a set-up goes on unchanged.
@@ -49,7 +51,8 @@
 
 struct ServerCounts {
     std::uint64_t connects = 0, refused = 0, noConnect = 0, broken = 0, garbled = 0, unknown = 0,
-                  lookedFor = 0, foundGone = 0, early = 0, figures = 0;
+                  lookedFor = 0, foundGone = 0, early = 0, figures = 0, withdrawn = 0, endsPaidLate = 0,
+                  endsDropped = 0;
     std::array<std::uint64_t, 4> notes{};  // served, at_rung, link_use, rack_use
 };
 
@@ -63,9 +66,11 @@
     }
     void connect(core::Core& core) { core_ = &core; }
 
-    // From the list. One that is off, or whose process is new, has lost what stood there.
-    void at(SfuId, const net::Endpoint&);
+    // From the list, each after the core has been told. One that is off, or whose process is new, has lost
+    // what stood there. What waits to be sent to one that drains, or is new, is taken back.
+    void at(SfuId, const net::Endpoint&);  // a new one may be told before that
     void off(SfuId);
+    void drains(SfuId);
     void startedAnew(SfuId, Micros launched);
     bool knows(SfuId at) const { return servers_.count(at) > 0; }
 
@@ -76,12 +81,14 @@
 
     void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) override;
     void cancel(SubId, int joinNo) override;
+    void withdraw(SubId, int joinNo) override;
     void release(SubId, SfuId) override;
     void followList() override {}
 
     std::size_t links() const { return openLinks_; }
     std::size_t standing() const;
     std::size_t out() const;
+    std::size_t owed() const;  // ends that are still to be said, or to be heard of
     const ServerCounts& counts() const { return counts_; }
 
   private:
@@ -92,11 +99,19 @@
     Link* linkFor(Server&, bool sure, bool forJoin);
     Link* open(Server&);
     void say(Server&, const std::string& line);
+    void sendWaiting(Link&);
+    void takeBack(SubId, JoinEnd, const char* why);
+    void takeBackAll(Server&, const char* why);
+    void owe(Server&, const std::string& tag, Link* saidOn);
+    void pay(Server&);
+    void lookForPay(Server&);
     void heard(Link&, const Message&);
     void standingHeard(SubId, Held&, const Message&);
     void linkGone(Link&, Gone);
     void giveUp(SubId, JoinEnd, const char* why);
     void ended(SubId, core::JoinOutcome);
+    void closeLink(Link&);
+    void closeLinks(Server&, Micros before);
     void endLater(SubId, int joinNo, core::JoinOutcome);
     void allOver(Server&, Micros before);
     void look(Server&);
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -157,7 +157,9 @@
 }
 
 void Wire::writable() {
+    const bool waited = !out_.empty();
     flush();
+    if (waited && canSend()) user_.drained();
 }
 
 void Wire::readable() {
--- a/src/node/wire.hpp
+++ b/src/node/wire.hpp
@@ -26,6 +26,7 @@
   public:
     virtual ~WireUser() = default;
     virtual void opened() {}
+    virtual void drained() {}  // the kernel has taken all that was unsent
     // May close the wire, but not delete it before it has returned.
     virtual void line(std::string_view) = 0;
     virtual void gone(Gone) = 0;  // once, and not after close()
@@ -72,7 +73,8 @@
     // Gives the place in the stream at which it begins; what is said after close() is lost.
     std::uint64_t say(std::string_view line);
     void readNow() { readable(); }  // what lies there already, without waiting for the next turn
-    std::uint64_t taken() const { return taken_; }  // bytes that the kernel has taken
+    std::uint64_t taken() const { return taken_; }                          // bytes that the kernel has taken
+    bool canSend() const { return state_ == State::Open && out_.empty(); }  // the kernel took all so far
     bool isOpen() const { return state_ == State::Open; }
     bool isClosed() const { return state_ == State::Closed; }
     std::size_t unsent() const { return out_.size(); }
--- a/src/standins/platform.cpp
+++ b/src/standins/platform.cpp
@@ -56,6 +56,7 @@
     : net_(net), listener_(net.listen(at, *this)) {}
 
 void PlatformServer::accepted(std::unique_ptr<net::Stream> stream) {
+    ++connections;
     lines_.push_back(std::make_unique<PlatformLine>(
         std::move(stream), [this](PlatformLine& line, const Json& message) { heard(line, message); }));
 }
--- a/src/standins/platform.hpp
+++ b/src/standins/platform.hpp
@@ -59,7 +59,7 @@
     std::vector<Setup> setups;  // all that arrived whole
     std::set<std::string> standing;
     std::vector<std::pair<std::string, int>> rungs;
-    int cuts = 0, tests = 0;
+    int cuts = 0, tests = 0, connections = 0;
 
   private:
     void accepted(std::unique_ptr<net::Stream>) override;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -43,7 +43,7 @@
     std::unique_ptr<core::Core> core;
     std::vector<std::string> said, sent;
     int guards = 0;
-    bool hangUpAtOnce = false;
+    bool hangUpAtOnce = false, unsent = false;
     explicit Rig(core::CoreLimits limits = {}) {
         RoomType paid{"paid", 500'000, 3, true, false, true, 0, 1, 0, 0, 0},
             open{"open", 500'000, 1, false, false, true, 0, 1, 0, 0, 0};
@@ -65,8 +65,10 @@
         said.push_back("plays " + std::to_string(rung));
         if (hangUpAtOnce) core->left(id);
     }
+    std::function<void()> whenThrottled = [] {};
     void throttled(SubId id, Micros) override {
         said.push_back("throttled");
+        whenThrottled();
         if (hangUpAtOnce) core->left(id);
     }
     void terminated(SubId, core::Ended) override { said.push_back("terminated"); }
@@ -79,6 +81,10 @@
         sent.push_back("cancel");
         core->joined(id, no, {JoinEnd::Cancelled, false, 0, {}, "cancelled"});
     }
+    void withdraw(SubId id, int no) override {
+        sent.push_back("withdraw");
+        if (unsent) core->joined(id, no, {JoinEnd::Cancelled, true, 0, {}, "withdrawn"});
+    }
     void release(SubId, SfuId) override { sent.push_back("release"); }
     void followList() override { sent.push_back("follow"); }
     void guarded(SubId) override { ++guards; }
@@ -165,6 +171,31 @@
     EXPECT_EQ(rig.core->held(), 0u);
 }
 
+// Guards against a set-up that lies somewhere for a connection and goes out when its viewer has long gone.
+TEST(Core, APaidJoinThatHasNotLeftYetIsWithdrawnWithItsViewer) {
+    Rig rig;
+    rig.unsent = true;
+    rig.decides->onAsk = [](Scripted& d, SubId id) { d.host.join(id, SfuId{1}, kSecond); };
+    rig.core->left(rig.ask(0));
+    EXPECT_EQ(rig.count(rig.sent, "withdraw"), 1);
+    EXPECT_EQ(rig.count(rig.sent, "release"), 0) << "it never ran";
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
+TEST(Core, AJoinDecidedForAViewerWhoIsGoneBeforeItIsSentIsNotSent) {
+    Rig rig;
+    const SubId first = rig.ask();
+    rig.decides->onAsk = [&](Scripted& d, SubId id) {
+        rig.whenThrottled = [&rig, id] { rig.core->left(id); };  // one connection, closed at the refusal
+        d.host.throttle(first, 0);
+        d.host.join(id, SfuId{1}, kSecond);
+    };
+    rig.ask();
+    EXPECT_EQ(rig.count(rig.sent, "join 0 at 1"), 0);
+    EXPECT_EQ(rig.count(rig.decides->heard, "ended 7 over"), 1) << "the module hears that it never left";
+    EXPECT_EQ(rig.core->held(), 0u);
+}
+
 TEST(Core, AFaceThatHangsUpWithinItsAnswerIsNoTrouble) {
     Rig rig;
     rig.hangUpAtOnce = true;
