Tests of the node under settings far from its first site's

Need: a test that fails when a figure, a name or an order of one deployment is built in. deployments_test.cpp reads the settings of the two made-up deployments, and lets a node serve under them between stand-ins: report fields in any order, all classes, one attempt, few set-ups on a connection, connections that end while a session stands.

--- /dev/null
+++ b/tests/deployments_test.cpp
@@ -0,0 +1,249 @@
+// What the node makes of settings far from those of the site it was made for: nothing in it may be fitted to
+// one deployment. The settings here are those of the made-up ones under deploy/sites, as the bench scales
+// them.
+#include <gtest/gtest.h>
+
+#include "core/core.hpp"
+#include "net/virtual.hpp"
+#include "node/message.hpp"
+#include "node/node.hpp"
+#include "node/servers.hpp"
+#include "setup/setup.hpp"
+#include "standins/platform.hpp"
+
+namespace valekeel {
+namespace {
+
+using Json = nlohmann::json;
+using standins::Does;
+
+// One class, one attempt, no budget, no wait to name; all times are short.
+Json pierNotices() {
+    return Json::parse(
+        R"({"balancers":20,"host_types":["berth"],"zones":["pier"],"zone":"pier","weights":"none",
+      "allowed":{"attempts_cap":1,"retry_after":false,"max_retry_after":0.2,"cancel":true,"peers":false,
+        "max_streams":2,"connect_timeout":0.08,"conn_idle":3},
+      "request_classes":[
+        {"name":"notice","promise":0.19,"deadline":0.43,"idempotency":"pure","importance":1,"group":"all"}],
+      "report":{"source":"answers","fields":["backlog","recent_ms"]},
+      "rules":{"cold":5.6,"start_capacity":0.2,"fall_multiple":1.3,"tip_after":0.7},
+      "specifics":{"cells":4,"racks":2,"ladder_kb":[200,500],"ladder_worth":[0.3,1],"rate_factor":[1],
+        "lowest_rung":[0],"highest_rung":[1],"licence_cap":[0],"links_kb":60000,"rack_link_kb":40000,
+        "places_by_kind":[28],"weight_kb":0,"stall":5,"switch_cost_s":0.3,"told_late":0.6,"told_every":1.5}})");
+}
+
+// Seven classes, three zones, two kinds, two attempts under a scant budget, no cancel; most times are long.
+Json sevenHalls() {
+    Json all = Json::parse(R"({"balancers":20,"host_types":["tower","blade"],"zones":["north","east","quay"],
+      "zone":"quay","weights":"rough",
+      "allowed":{"attempts_cap":2,"retry_after":true,"max_retry_after":3,"cancel":false,"peers":true,
+        "max_streams":4,"connect_timeout":0.9,"conn_idle":120},
+      "report":{"source":"answers","fields":["throughput","errors_per_s","outstanding","utilization"]},
+      "rules":{"cold":15,"start_capacity":0.3,"fall_multiple":4,"tip_after":6,"spare_attempts":2,
+        "resend_ratio":0.03,"look_back":4},
+      "prices":{"cross_zone":0.2},
+      "specifics":{"cells":4,"racks":2,"ladder_kb":[100,300,900],"ladder_worth":[0.2,0.6,1],
+        "links_kb":60000,"rack_link_kb":40000,"places_by_kind":[40,90],"weight_kb":9000,"stall":8,
+        "switch_cost_s":0.8,"join":0.4,"told_late":1.5,"told_every":8}})");
+    for (int i = 0; i < 7; ++i) {
+        all["request_classes"].push_back({{"name", "class-" + std::to_string(i)},
+                                          {"promise", 0.08 + 0.1 * i},
+                                          {"deadline", 0.4 + 1.2 * i},
+                                          {"idempotency", i % 2 ? "side_effect" : "pure"},
+                                          {"importance", 0.2 + i}});
+        all["specifics"]["rate_factor"].push_back(0.6 + 0.1 * i);
+        all["specifics"]["lowest_rung"].push_back(0);
+        all["specifics"]["highest_rung"].push_back(i % 3);
+        all["specifics"]["licence_cap"].push_back(i == 3 ? 3 : 0);
+    }
+    return all;
+}
+
+std::string idOf(int n) {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016x", n);
+    return text;
+}
+
+struct Day {
+    Json settings;
+    net::VirtualWorld world{5};
+    std::map<int, net::VirtualNode*> nodes;
+    std::vector<std::unique_ptr<standins::PlatformServer>> servers;
+    std::unique_ptr<standins::PlatformLog> log;
+    record::Log record{"", record::Level::Error, 1};
+    std::unique_ptr<node::Node> front;
+    std::unique_ptr<standins::PlatformLine> viewers;
+    std::map<std::string, std::vector<std::pair<Micros, Json>>> heard;
+
+    explicit Day(Json told, int count = 4, int listed = -1) : settings(std::move(told)) {
+        for (int i = 0; i < count; ++i)
+            servers.push_back(std::make_unique<standins::PlatformServer>(machine(i), place(i)));
+        log = std::make_unique<standins::PlatformLog>(machine(10), place(10));
+        log->last = 1;
+        front = std::make_unique<node::Node>(machine(11), "config.json",
+                                             configuration(listed < 0 ? count : listed), record);
+        viewers = std::make_unique<standins::PlatformLine>(
+            machine(12), front->at(), [this](standins::PlatformLine&, const Json& m) {
+                heard[m.value("tag", "")].emplace_back(world.now(), m);
+            });
+        run(50'000);
+    }
+    net::Net& machine(int n) {
+        auto& node = nodes[n];
+        if (!node) node = &world.node("m" + std::to_string(n), place(n).ip);
+        return *node;
+    }
+    static net::Endpoint place(int n) {
+        return *net::endpointOf("10.0.0." + std::to_string(n + 1) + ":5060");
+    }
+    void run(Micros time) { world.runUntil(world.now() + time); }
+    std::string configuration(int count) const {
+        Json boxes = Json::array();
+        for (int i = 0; i < count; ++i)
+            boxes.push_back(
+                {{"instanceId", "s-0000000" + std::to_string(i)},
+                 {"hostPort", net::text(place(i))},
+                 {"zone", settings["zones"][static_cast<std::size_t>(i) % settings["zones"].size()]},
+                 {"machineType", settings["host_types"].back()},
+                 {"cell", i},
+                 {"lifecycle", "active"},
+                 {"weight", 1},
+                 {"startedAtMs", 0}});
+        return Json{
+            {"name", "n0"},
+            {"listen", net::text(place(11))},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
+            {"changelog", net::text(log->at())},
+            {"known",
+             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
+            {"settings", settings}}
+            .dump();
+    }
+    void ask(int n, std::size_t room = 0, int left = 0) {
+        const Json& told = settings["request_classes"][room];
+        if (left == 0) left = static_cast<int>(told["deadline"].get<double>() * 1000);
+        viewers->say({{"verb", "START"},
+                      {"tag", idOf(n)},
+                      {"opts",
+                       {{"class", told["name"]},
+                        {"left", std::to_string(left)},
+                        {"key", "t" + std::to_string(n)},
+                        {"extras", "home:0;copies:4;top:2"}}},
+                      {"blob", "offer"}});
+    }
+    // What was said of it: "+" that it plays, a cause of a release, in order.
+    std::string said(int n) {
+        std::string out;
+        for (const auto& [at, m] : heard[idOf(n)])
+            out += (out.empty() ? "" : " ") +
+                   (m["verb"] == "STARTED" ? std::string("+") : std::to_string(m.value("rc", 0)));
+        return out;
+    }
+    Micros lastSaidAt(int n) { return heard[idOf(n)].empty() ? 0 : heard[idOf(n)].back().first; }
+};
+
+// ================= what is read of the settings =================
+
+TEST(Deployments, SettingsAreReadAsTheyAre) {
+    const Json pier = pierNotices(), halls = sevenHalls();
+    EXPECT_FALSE(setup::budgetOf(pier, "pier"));
+    EXPECT_EQ(setup::allowedOf(pier, "pier").joinsEach, 1);
+    EXPECT_FALSE(setup::allowedOf(pier, "pier").comeBack);
+    EXPECT_EQ(setup::coldOf(pier, "pier").tipAfter, 700'000);
+    EXPECT_FALSE(setup::fleetOf(pier, setup::namesOf(pier, "pier"), "pier").sizesTold);
+    EXPECT_EQ(setup::pricesOf(pier, "pier").crossZone, 0);
+    const auto budget = setup::budgetOf(halls, "halls");
+    ASSERT_TRUE(budget);
+    EXPECT_EQ(budget->free, 2);
+    EXPECT_EQ(budget->window, 4 * kSecond);
+    const auto rooms = setup::roomTypesOf(halls, setup::ladderOf(halls, "halls"), "halls");
+    ASSERT_EQ(rooms.size(), 7u);
+    EXPECT_EQ(rooms[3].seats, 3);
+    EXPECT_TRUE(rooms[3].paid);
+    EXPECT_EQ(rooms[5].top, 2);
+    const Fleet fleet = setup::fleetOf(halls, setup::namesOf(halls, "halls"), "halls");
+    EXPECT_EQ(fleet.zone, ZoneId{2});
+    EXPECT_EQ(fleet.places, (std::vector<int>{40, 90}));
+}
+
+// A report may hold any of the names of the settings, in any order; those that say nothing of a link or of an
+// uplink are passed over.
+TEST(Deployments, AReportIsReadByNameWhereverTheNameStands) {
+    const auto load = [](const char* told) {
+        node::Message m;
+        m.opts["load"] = told;
+        return node::loadOf(m);
+    };
+    const Load last = load("throughput:9;errors_per_s:0;outstanding:12;utilization:0.4");
+    EXPECT_EQ(last.linkUse, 0.4);
+    EXPECT_FALSE(last.uplinkUse);
+    for (const char* both : {"x0:1.3;utilization:1;x1:0.2", "utilization:1;x1:0.2;x0:1.3"}) {
+        EXPECT_EQ(load(both).linkUse, 1.3) << both;
+        EXPECT_EQ(load(both).uplinkUse, 0.2) << both;
+    }
+    const Load none = load("backlog:3;recent_ms:70");
+    EXPECT_FALSE(none.linkUse);
+    EXPECT_FALSE(none.uplinkUse);
+}
+
+// ================= what the node does by them =================
+
+TEST(Deployments, AllClassesPlayEverywhere) {
+    for (const Json& told : {pierNotices(), sevenHalls()}) {
+        Day day(told);
+        const std::size_t rooms = told["request_classes"].size();
+        for (std::size_t i = 0; i < rooms; ++i) day.ask(static_cast<int>(i) + 1, i);
+        day.run(kSecond);
+        for (std::size_t i = 0; i < rooms; ++i) EXPECT_EQ(day.said(static_cast<int>(i) + 1), "+") << i;
+    }
+}
+
+// One attempt is one, also where the first was refused and proven not to have run.
+TEST(Deployments, OneAttemptIsOne) {
+    Day day(pierNotices());
+    for (const auto& s : day.servers) s->does = [](const std::string&) { return Does::Full; };
+    day.ask(1);
+    day.run(kSecond);
+    std::size_t sent = 0;
+    for (const auto& s : day.servers) sent += s->setups.size();
+    EXPECT_EQ(sent, 1u);
+    EXPECT_EQ(day.said(1), "42");
+    EXPECT_FALSE(day.heard[idOf(1)].back().second["opts"].contains("wait"));
+}
+
+// Each connection carries no more set-ups at once than the settings allow.
+TEST(Deployments, ConnectionsCarryNoMoreThanTheSettingsAllow) {
+    Day day(pierNotices(), 0, 1);
+    struct Holds final : net::ListenerUser {
+        std::vector<std::unique_ptr<standins::PlatformLine>> lines;
+        std::map<standins::PlatformLine*, int> out;
+        void accepted(std::unique_ptr<net::Stream> stream) override {
+            lines.push_back(std::make_unique<standins::PlatformLine>(
+                std::move(stream),
+                [this](standins::PlatformLine& line, const Json& m) { out[&line] += m["verb"] == "START"; }));
+        }
+    } holds;
+    const auto listener = day.machine(0).listen(Day::place(0), holds);
+    for (int n = 1; n <= 6; ++n) day.ask(n);
+    day.run(200'000);
+    ASSERT_FALSE(holds.out.empty());
+    for (const auto& [line, out] : holds.out) EXPECT_LE(out, 2);
+}
+
+// What was set up idle times ago still plays: the media server closes the connection that nobody needs.
+TEST(Deployments, ASessionOutlivesShortIdleTimes) {
+    Day day(pierNotices(), 1);
+    day.ask(1);
+    day.run(kSecond);
+    day.servers[0]->resetAll();
+    day.run(3 * kSecond);
+    EXPECT_EQ(day.said(1), "+");
+    day.servers[0]->end(idOf(1), 16);
+    day.run(kSecond);
+    EXPECT_EQ(day.said(1), "+ 16");
+}
+
+}  // namespace
+}  // namespace valekeel
