A late connection is no loss: looks have their own time, set-ups wait by the settings

Cause (servers.cpp, linkGone and look): a look for a silent media server used the settings' connect time-out, and four failures counted, whatever time they took. Ruled out: the silence that starts a look (4 s at most) fits the 8 s with looks of 2.5 s beside it.

A set-up waits for its connection as long as the settings say, then it never ran; one that comes later doesn't ride on a connect that is already slow.

--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -67,7 +67,10 @@
 class Servers::Link final : public WireUser {
   public:
     Link(Servers& all, Server& server, const net::Endpoint& to, const Wire::Limits& limits)
-        : all(all), server(&server), wire(all.net_, to, all.limits_.connectWithin, limits, *this) {}
+        : all(all),
+          server(&server),
+          begunAt(all.net_.now()),
+          wire(all.net_, to, std::max(all.limits_.connectWithin, all.limits_.lookWithin), limits, *this) {}
     void opened() override;
     void drained() override { all.sendWaiting(*this); }
     void line(std::string_view bytes) override {
@@ -89,7 +92,8 @@
     std::set<SubId> out;
     std::deque<SubId> waiting;  // of those, what the kernel has not been handed yet
     bool doubted = false;       // silent while it should speak: takes no more joins
-    Micros openedAt = 0;
+    Micros begunAt, openedAt = 0;
+    bool isConnecting() const { return !wire.isOpen() && !wire.isClosed(); }
     Wire wire;
 };
 
@@ -99,7 +103,8 @@
     std::vector<std::unique_ptr<Link>> links;
     std::set<SubId> standing;
     Micros heardAt = 0, lookAt = 0;
-    int failedLooks = 0;
+    Micros lookedSince = 0;  // the first look since it was last heard; 0: none
+    int refusals = 0;
     // What is to be ended there: given up on, or left. Not said yet, or said and not heard of yet.
     struct Owed {
         std::string tag;
@@ -130,7 +135,8 @@
 void Servers::Link::opened() {
     ++all.counts_.connects;
     openedAt = server->heardAt = all.net_.now();
-    server->failedLooks = 0;
+    server->refusals = 0;
+    server->lookedSince = 0;
     server->payPause = 0;
     all.pay(*server);  // before anything new: an end may be of the same id
     all.sendWaiting(*this);
@@ -235,6 +241,8 @@
     for (const auto& link : server.links) {
         if (link->wire.isClosed() || link->doubted) continue;
         if (forJoin && link->out.size() >= limits_.joinsOnLink) continue;
+        // It may yet come up, late; but what is asked for now has better chances with a new one.
+        if (link->isConnecting() && net_.now() - link->begunAt >= limits_.connectWithin / 2) continue;
         // A connection that its peer closes for idleness just as a paid set-up goes out leaves that in doubt.
         const Micros lately = std::max(link->wire.heardAt(), link->wire.usedAt());
         if (sure && link->wire.isOpen() && net_.now() - lately > limits_.sureFor) continue;
@@ -276,10 +284,13 @@
     bury(std::move(gone));
     if (again) pay(server);
     if (how == Gone::Refused || how == Gone::NoConnect) {
-        ++server.failedLooks;
-        server.lookAt = net_.now() + limits_.lookAgain;
+        const Micros now = net_.now();
+        server.refusals = how == Gone::Refused ? server.refusals + 1 : 0;
+        if (how == Gone::Refused) server.lookAt = now + limits_.lookAgain;
         // Refused twice: nobody listens, and a dying process cuts what it plays.
-        if (server.failedLooks >= (how == Gone::Refused ? 2 : limits_.looks) && !server.standing.empty()) {
+        const bool lost =
+            server.refusals >= 2 || (server.lookedSince > 0 && now - server.lookedSince >= limits_.goneAfter);
+        if (lost && !server.standing.empty()) {
             ++counts_.foundGone;
             // It may be no more than cut off, and go on playing to nobody.
             for (const SubId id : std::set<SubId>(server.standing))
@@ -336,11 +347,14 @@
         const auto it = held_.find(id);
         if (it == held_.end() || it->second.stands) return;
         const Held& late = it->second;
+        if (!late.sent && late.link->isConnecting())
+            return takeBack(id, JoinEnd::NoConnection, "no connection in time");
         // Nothing at all since it was asked for: the connection may be a dead one.
         if (late.link->wire.heardAt() <= late.askedAt) late.link->doubted = true;
         giveUp(id, JoinEnd::TimedOut, "timed out");
     });
-    held.late->after(timeOut);
+    // Without a connection it waits for one no longer than the settings give that.
+    held.late->after(link->isConnecting() ? std::min(timeOut, limits_.connectWithin) : timeOut);
     byTag_[held.tag] = id;
     link->out.insert(id);
     link->waiting.push_back(id);
@@ -377,6 +391,7 @@
         setup.description = words->description;
         held.sent = true;
         held.sentAt = net_.now();
+        held.late->at(held.until);
         held.from = link.wire.say(lineOf(setup));
     }
 }
@@ -485,9 +500,8 @@
 // Opens a connection for what is owed, and again after a pause that doubles while none comes up.
 void Servers::lookForPay(Server& server) {
     const Micros now = net_.now();
-    const bool connecting = std::any_of(server.links.begin(), server.links.end(), [](const auto& link) {
-        return !link->wire.isOpen() && !link->wire.isClosed();
-    });
+    const bool connecting = std::any_of(server.links.begin(), server.links.end(),
+                                        [](const auto& link) { return link->isConnecting(); });
     if (connecting || now < server.payAt) return;
     server.payPause = std::clamp(2 * server.payPause, limits_.lookAgain, kPayAgainAtMost);
     server.payAt = now + server.payPause;
@@ -533,7 +547,8 @@
 void Servers::heard(Link& link, const Message& message) {
     Server& server = *link.server;
     server.heardAt = net_.now();
-    server.failedLooks = 0;
+    server.refusals = 0;
+    server.lookedSince = 0;
     const auto tagged = byTag_.find(message.tag);
     const auto it = tagged == byTag_.end() ? held_.end() : held_.find(tagged->second);
     if (message.verb == "FINISH") {
@@ -632,14 +647,14 @@
 
 // A machine that vanished says nothing, and its open connections stay open. What stood there is over, and
 // viewers must hear of it. So a server that plays for this front and is silent, or to which no connection
-// stands, gets a fresh one; if that fails again and again, it is gone.
+// stands, gets fresh ones, one after another; if none comes up for so long, it is gone. How long a set-up
+// waits for its connection says nothing of that: connections may come up late, and one in many never does.
 void Servers::look(Server& server) {
     const Micros now = net_.now();
     if (server.standing.empty() || now < server.lookAt) return;
-    const bool connecting = std::any_of(server.links.begin(), server.links.end(), [](const auto& link) {
-        return !link->wire.isOpen() && !link->wire.isClosed();
-    });
-    if (connecting) return;
+    const auto connecting = std::count_if(server.links.begin(), server.links.end(),
+                                          [](const auto& link) { return link->isConnecting(); });
+    if (connecting > limits_.lookWithin / limits_.lookEvery) return;
     const bool silent = now - server.heardAt > limits_.silent;
     const bool none = std::none_of(server.links.begin(), server.links.end(),
                                    [](const auto& link) { return link->wire.isOpen() && !link->doubted; });
@@ -647,7 +662,8 @@
     if (silent)
         for (const auto& link : server.links) link->doubted = true;
     ++counts_.lookedFor;
-    server.lookAt = now + limits_.lookAgain;
+    if (server.lookedSince == 0) server.lookedSince = now;
+    server.lookAt = now + limits_.lookEvery;
     open(server);
 }
 
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -21,14 +21,16 @@
 namespace valekeel::node {
 
 struct ServerLimits {
-    std::size_t links = 64;        // connections to all media servers together
-    std::size_t joinsOnLink = 32;  // at once on one connection
-    Micros connectWithin = 250'000;
-    Micros idle = 15'000'000;         // a connection that nobody needs is closed after
-    Micros sureFor = 8'000'000;       // a paid join takes no connection that has been idle for longer
-    Micros silent = 4'000'000;        // a server with own subscriptions that says nothing is looked for
-    Micros lookAgain = 150'000;       // between two looks for it
-    int looks = 4;                    // that fail before what stood there is taken to be over
+    std::size_t links = 64;          // connections to all media servers together
+    std::size_t joinsOnLink = 32;    // at once on one connection
+    Micros connectWithin = 250'000;  // what a set-up waits for a connection
+    Micros idle = 15'000'000;        // a connection that nobody needs is closed after
+    Micros sureFor = 8'000'000;      // a paid join takes no connection that has been idle for longer
+    Micros silent = 4'000'000;       // a server with own subscriptions that says nothing is looked for
+    Micros lookAgain = 150'000;      // after a refused look; between two others
+    Micros lookEvery = 400'000;
+    Micros lookWithin = 1'200'000;    // a connection that comes up no later is no sign of a loss
+    Micros goneAfter = 2'500'000;     // of looks that come to nothing what stood there is taken to be over
     std::size_t unsent = 256 * 1024;  // bytes, on one connection
     Micros unfinished = 400'000;      // how long a line may stay unfinished
     std::size_t owed = 512;           // ends that one server has not been told yet; the oldest go first
