A connection to the change log that was given up on is gone at once; it crashed the front

Seen: a connect that came up 0.5 to 0.9 s late, and a SIGHUP within the connect, ended the front with SIGSEGV (tests AConnectionThatComesUpLateIsUsed, AReloadWhileAConnectIsUnderWay; a move from within an event did too, AReloadFromWithinAnEvent). Cause: ChangeLog::lost and moveTo put the stream into dead_, where it went on calling connected() and connectFailed() while stream_ was empty (changelog.cpp: connected wrote to *stream_; readable read from it again after the move). Ruled out: readable() on the dead stream, guarded by stream_.

Change: what is given up on is deleted at once, as net.hpp allows from within its own calls. moveTo ends nothing: the connection that stands is heard until the next is opened, and what lies unread there is read first, for a drain told before SIGHUP counts as told though nobody may answer at the new address yet. Naming the address held again costs no connection. A connect is given 1.2 s (0.5 before, which never took one that comes up a second late): 0.1 s of back-off and 1 s leave 0.9 s of the 2 s after a break; a silence found after 1.5 s leaves 1.3 s of the 4 s.

Each of these tests, and WhatTheOldOneToldJustBeforeAReloadIsTaken, WhatLiesUnreadWhenAReloadComesIsTaken and AReloadToTheSameAddressKeepsTheConnection, was seen to fail without its line. The other tests of the new file passed before: back-off, addresses that come up later, half a frame, one that never speaks, numbers told twice, missing or jumping.

--- a/src/node/changelog.cpp
+++ b/src/node/changelog.cpp
@@ -122,19 +122,21 @@
 ChangeLog::~ChangeLog() = default;
 
 void ChangeLog::open() {
-    dead_.reset();
+    // What lies unread on a connection that is left was told in time, and the next one to ask may not be up.
+    if (stream_) readable();
+    again_.cancel();
+    more_.cancel();
     reader_.reset();
     sent_ = false;
     stream_ = net_.connect(at_, *this);
     silent_.after(times_.connectWithin);
 }
 
+// The connection that stands is heard until the next is opened: no call of it meets a half-made move.
 void ChangeLog::moveTo(const net::Endpoint& to) {
+    if (to == at_ && stream_) return;  // if it is about to end there, that shows
     at_ = to;
     wait_ = times_.again;
-    silent_.cancel();
-    more_.cancel();
-    dead_ = std::move(stream_);
     again_.after(0);
 }
 
@@ -192,10 +194,11 @@
 void ChangeLog::lost(const std::string& why) {
     silent_.cancel();
     more_.cancel();
-    dead_ = std::move(stream_);  // this very call may come from within it
-    if (std::exchange(well_, false)) user_.unreachable(why);
+    // At once: what it would call later meets nobody. It may be calling right now, which a stream allows for.
+    stream_.reset();
     again_.after(wait_);
     wait_ = std::min(2 * wait_, times_.againAtMost);
+    if (std::exchange(well_, false)) user_.unreachable(why);
 }
 
 }  // namespace valekeel::node
--- a/src/node/changelog.hpp
+++ b/src/node/changelog.hpp
@@ -37,9 +37,9 @@
 };
 
 struct ChangeLogTimes {
-    Micros connectWithin = 500'000;
-    Micros silent = 1'500'000;  // an empty frame is due each second
-    Micros again = 100'000;     // after a break, and doubled up to
+    Micros connectWithin = 1'200'000;  // some come up late, by up to a second
+    Micros silent = 1'500'000;         // an empty frame is due each second
+    Micros again = 100'000;            // after a break, and doubled up to
     Micros againAtMost = 400'000;
 };
 
@@ -57,7 +57,8 @@
               ChangeLogUser&);
     ~ChangeLog() override;
     void start() { open(); }
-    void moveTo(const net::Endpoint&);  // from here on it is asked there
+    // From here on it is asked there; also from within a call to the user.
+    void moveTo(const net::Endpoint&);
     std::uint64_t last() const { return last_; }
 
   private:
@@ -75,7 +76,7 @@
     FrameReader reader_;
     ChangeLogTimes times_;
     ChangeLogUser& user_;
-    std::unique_ptr<net::Stream> stream_, dead_;
+    std::unique_ptr<net::Stream> stream_;
     net::Timer silent_, again_, more_;
     Micros wait_;
     bool well_ = false, gap_ = false, sent_ = false;
--- /dev/null
+++ b/tests/changelog_test.cpp
@@ -0,0 +1,369 @@
+// The connection to the change log, driven by hand: each test forces one crossing of what may happen to it at
+// once, on a virtual clock, against a change log of the test's own. The bounds are
+// those of the platform's page: what there is to tell counts as told 2 s after a break, 4 s after a silence
+// or a SIGHUP began.
+#include "node/changelog.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+
+#include "net/virtual.hpp"
+#include "standins/platform.hpp"
+
+namespace valekeel {
+namespace {
+
+using standins::PlatformLog;
+
+constexpr Micros kAfterBreak = 2 * kSecond, kAfterSilence = 4 * kSecond, kAfterReload = 4 * kSecond;
+
+// A change log that does nothing by itself but beat: the test says what it writes, on which connection.
+class HandLog final : net::ListenerUser {
+  public:
+    struct Link final : net::StreamUser {
+        Link(HandLog& log, std::unique_ptr<net::Stream> stream) : log(log), stream(std::move(stream)) {
+            this->stream->handTo(*this);
+        }
+        void readable() override {
+            std::array<char, 64> buffer;
+            while (stream) {
+                const net::Moved got = stream->read(buffer);
+                if (got.then == net::Moved::Then::Again) return;
+                if (got.then != net::Moved::Then::More) return stream.reset();
+                in.append(buffer.data(), got.bytes);
+                if (asked || in.size() < 8) continue;
+                asked = true;
+                std::uint64_t from = 0;
+                for (std::size_t i = 0; i < 8; ++i) from = from << 8 | static_cast<unsigned char>(in[i]);
+                log.asked.push_back(from);
+                if (log.onAsk) log.onAsk(*this, from);
+            }
+        }
+        void writable() override {}
+        void say(const std::string& bytes) {
+            if (stream) stream->write(bytes);
+        }
+        HandLog& log;
+        std::unique_ptr<net::Stream> stream;
+        std::string in;
+        bool asked = false;
+    };
+
+    HandLog(net::Net& net, const net::Endpoint& at) : net_(net), place(at), beat_(net, [this] { beat(); }) {
+        up();
+        beat_.after(kSecond);
+    }
+    net::Endpoint at() const { return place; }
+    void up() {
+        listener_ = net_.listen(place, *this);
+        place = listener_->at();
+    }
+    void down() {  // takes no new connection; those that stand stay
+        listener_.reset();
+    }
+    void breakAll() {
+        for (const auto& link : links) link->stream.reset();
+    }
+    std::size_t open() const {
+        std::size_t count = 0;
+        for (const auto& link : links) count += link->stream != nullptr;
+        return count;
+    }
+    Link& newest() { return *links.back(); }
+    // What a sound one says when it is asked, and each second after.
+    void tells(const std::map<std::uint64_t, std::string>& events) {
+        onAsk = [events](Link& link, std::uint64_t from) {
+            for (const auto& [number, bytes] : events)
+                if (number > from) link.say(bytes);
+        };
+    }
+    std::function<void(Link&, std::uint64_t from)> onAsk;
+    bool beats = true;
+    std::uint64_t last = 1;
+    std::vector<std::uint64_t> asked;
+    std::vector<std::unique_ptr<Link>> links;
+
+  private:
+    void accepted(std::unique_ptr<net::Stream> stream) override {
+        links.push_back(std::make_unique<Link>(*this, std::move(stream)));
+    }
+    void beat() {
+        beat_.after(kSecond);
+        if (!beats) return;
+        for (const auto& link : links)
+            if (link->asked) link->say(PlatformLog::frame(last, 0, {}));
+    }
+    net::Net& net_;
+    net::Endpoint place;
+    std::unique_ptr<net::Listener> listener_;
+    net::Timer beat_;
+};
+
+struct Heard final : node::ChangeLogUser {
+    void changed(const node::ChangeEvent& event) override {
+        numbers.push_back(event.number);
+        if (onChanged) onChanged(event);
+    }
+    void current() override { ++currents; }
+    void unreachable(const std::string& why) override { whys.push_back(why); }
+    std::vector<std::uint64_t> numbers;
+    std::function<void(const node::ChangeEvent&)> onChanged;
+    std::vector<std::string> whys;
+    int currents = 0;
+};
+
+net::Endpoint place(int n) {
+    return *net::endpointOf("10.0.1." + std::to_string(n) + ":2379");
+}
+std::string drain(std::uint64_t number) {
+    return PlatformLog::frame(number, 2, {{7, place(9), 1}});
+}
+
+struct ChangeLogDay : testing::Test {
+    net::VirtualWorld world{11};
+    net::VirtualNode& front = world.node("front", place(1).ip);
+    net::VirtualNode& there = world.node("log", place(2).ip);
+    net::VirtualNode& elsewhere = world.node("other", place(3).ip);
+    HandLog log{there, place(2)};
+    Heard user;
+    node::ChangeLog follows{front, place(2), 1, node::FrameReader(1, 1, 4096), node::ChangeLogTimes{}, user};
+    void run(Micros time) { world.runUntil(world.now() + time); }
+    // How long until it holds, at most so long.
+    Micros until(const std::function<bool()>& holds, Micros atMost = 20 * kSecond) {
+        const Micros from = world.now();
+        while (!holds() && world.now() < from + atMost && world.step(from + atMost)) {
+        }
+        return world.now() - from;
+    }
+    bool has(std::uint64_t number) const {
+        return std::find(user.numbers.begin(), user.numbers.end(), number) != user.numbers.end();
+    }
+};
+
+// A connection may come up late, by up to a second: also after it was given up on, while the next try waits.
+TEST_F(ChangeLogDay, AConnectionThatComesUpLateIsUsed) {
+    for (const Micros oneWay : {240'000, 260'000, 290'000, 400'000, 490'000}) {
+        Heard heard;
+        node::ChangeLog one(front, place(2), 1, node::FrameReader(1, 1, 16), node::ChangeLogTimes{}, heard);
+        world.latency = [&](const auto&, const auto&) { return oneWay; };
+        log.onAsk = [](HandLog::Link& link, std::uint64_t) { link.say(drain(2)); };
+        one.start();
+        EXPECT_LE(until([&] { return !heard.numbers.empty(); }), kAfterBreak) << oneWay;
+    }
+}
+
+// A reload just as the connect to the old address succeeds: what has come up then belongs to nobody.
+TEST_F(ChangeLogDay, AReloadWhileAConnectIsUnderWay) {
+    HandLog other(elsewhere, place(3));
+    other.tells({{2, drain(2)}});
+    for (const Micros into : {0, 100, 300, 390, 410, 700}) {
+        Heard heard;
+        node::ChangeLog one(front, place(2), 1, node::FrameReader(1, 1, 16), node::ChangeLogTimes{}, heard);
+        one.start();
+        run(into);
+        one.moveTo(other.at());
+        EXPECT_LE(until([&] { return !heard.numbers.empty(); }), kAfterReload) << into;
+        run(3 * kSecond);
+        EXPECT_EQ(heard.numbers, std::vector<std::uint64_t>{2}) << into;
+        EXPECT_EQ(log.open(), 0u) << into;
+    }
+}
+
+TEST_F(ChangeLogDay, AReloadDuringBackOffAsksAtOnce) {
+    follows.start();
+    run(1'500'000);
+    log.down();
+    log.breakAll();
+    HandLog other(elsewhere, place(3));
+    other.tells({{2, drain(2)}});
+    run(700'000);  // refused again and again
+    follows.moveTo(other.at());
+    EXPECT_LE(until([&] { return has(2); }), 110'000);
+}
+
+// Nobody listens at the new address yet, and it is named twice, another one between.
+TEST_F(ChangeLogDay, AReloadToAnAddressThatComesUpLater) {
+    follows.start();
+    run(1'500'000);
+    log.down();
+    HandLog other(elsewhere, place(3));
+    other.down();
+    other.tells({{2, drain(2)}});
+    follows.moveTo(other.at());
+    run(200'000);
+    follows.moveTo(place(2));
+    follows.moveTo(other.at());
+    run(2'800'000);
+    other.up();
+    EXPECT_LE(until([&] { return has(2); }), kSecond);
+    run(5 * kSecond);
+    EXPECT_EQ(log.asked.size(), 1u);  // nothing of the old one lives on
+    EXPECT_EQ(other.asked.size(), 1u);
+    EXPECT_EQ(other.open(), 1u);
+}
+
+// A drain that the old one told before the reload counts as told by then, though nobody may answer at the new
+// address for seconds.
+TEST_F(ChangeLogDay, WhatTheOldOneToldJustBeforeAReloadIsTaken) {
+    follows.start();
+    run(1'500'000);
+    log.newest().say(drain(2));
+    follows.moveTo(place(3));  // the drain is on its way
+    run(500'000);
+    EXPECT_TRUE(has(2));
+    HandLog other(elsewhere, place(3));
+    run(kSecond);
+    EXPECT_EQ(other.asked, std::vector<std::uint64_t>{2});
+}
+
+TEST_F(ChangeLogDay, AReloadABreakAndADrainInOneMoment) {
+    for (const bool breakFirst : {true, false}) {
+        Heard heard;
+        node::ChangeLog one(front, place(2), 1, node::FrameReader(1, 1, 16), node::ChangeLogTimes{}, heard);
+        HandLog other(elsewhere, place(3));
+        other.tells({{2, drain(2)}, {3, drain(3)}});
+        one.start();
+        run(1'500'000);
+        log.newest().say(drain(2));
+        if (breakFirst) log.breakAll();
+        run(200);  // both have arrived, or arrive in this moment
+        one.moveTo(other.at());
+        if (!breakFirst) log.breakAll();
+        EXPECT_LE(until([&] { return heard.numbers.size() == 2; }), kAfterBreak);
+        run(3 * kSecond);
+        EXPECT_EQ(heard.numbers, (std::vector<std::uint64_t>{2, 3}));
+        EXPECT_EQ(other.asked, std::vector<std::uint64_t>{2});
+    }
+}
+
+// Whoever hears of a change may move the connection from within.
+TEST_F(ChangeLogDay, AReloadFromWithinAnEvent) {
+    HandLog other(elsewhere, place(3));
+    other.tells({{4, drain(4)}});
+    user.onChanged = [&](const node::ChangeEvent& event) {
+        if (event.number == 2) follows.moveTo(other.at());
+    };
+    log.onAsk = [](HandLog::Link& link, std::uint64_t) { link.say(drain(2) + drain(3)); };
+    follows.start();
+    run(3 * kSecond);
+    EXPECT_EQ(user.numbers, (std::vector<std::uint64_t>{2, 3, 4}));
+}
+
+// More lay unread on the connection that is left than is read at once, and nobody answers at the new address.
+TEST_F(ChangeLogDay, WhatLiesUnreadWhenAReloadComesIsTaken) {
+    const std::vector<PlatformLog::Box> boxes(4096, {7, place(9)});
+    node::ChangeLogTimes times;
+    times.again = 1;  // the move comes before the rest is read
+    Heard heard;
+    node::ChangeLog one(front, place(2), 1, node::FrameReader(1, 1, 4096), times, heard);
+    heard.onChanged = [&](const node::ChangeEvent& event) {
+        if (event.number == 2) one.moveTo(place(3));
+    };
+    log.onAsk = [&](HandLog::Link& link, std::uint64_t) {
+        link.say(PlatformLog::frame(2, 1, boxes) + PlatformLog::frame(3, 1, boxes) + drain(4));
+    };
+    one.start();
+    run(kSecond);
+    EXPECT_EQ(heard.numbers, (std::vector<std::uint64_t>{2, 3, 4}));
+}
+
+// A configuration that names the address held already costs no connection where one stands, and is found out
+// where that one is about to be closed.
+TEST_F(ChangeLogDay, AReloadToTheSameAddressKeepsTheConnection) {
+    follows.start();
+    run(1'500'000);
+    follows.moveTo(log.at());
+    run(2 * kSecond);
+    EXPECT_EQ(log.asked.size(), 1u);
+    follows.moveTo(log.at());
+    log.beats = false;  // from here on the old process tells nothing, and closes after 1.5 s
+    const Micros from = world.now();
+    run(1'500'000);
+    log.breakAll();
+    log.beats = true;
+    log.tells({{2, drain(2)}});
+    until([&] { return has(2); });
+    EXPECT_LE(world.now() - from, kAfterReload);
+}
+
+TEST_F(ChangeLogDay, HalfAFrameAndThenNothingIsASilence) {
+    follows.start();
+    for (int times = 0; times < 3; ++times) {  // and more than once, late
+        log.onAsk = nullptr;
+        run(7'300'000);
+        log.beats = false;
+        const std::uint64_t next = follows.last() + 1;
+        log.newest().say(drain(next).substr(0, 20));
+        log.tells({{next, drain(next)}});
+        EXPECT_LE(until([&] { return has(next); }), kAfterSilence);
+        log.beats = true;
+        log.last = next;
+    }
+}
+
+// It takes the connection and never says a word: after 4 s it has been asked again, and hears the rest.
+TEST_F(ChangeLogDay, OneThatTakesConnectionsAndSaysNothing) {
+    follows.start();
+    run(1'500'000);
+    log.beats = false;
+    run(kAfterSilence);
+    EXPECT_GE(log.asked.size(), 3u);
+    EXPECT_LE(log.asked.size(), 4u);
+    log.tells({{2, drain(2)}});
+    EXPECT_LE(until([&] { return has(2); }), kAfterSilence);
+    EXPECT_EQ(user.whys, std::vector<std::string>{"silent"});
+}
+
+// ---- numbers ----
+
+TEST_F(ChangeLogDay, WhatIsToldTwiceIsTakenOnce) {
+    log.onAsk = [](HandLog::Link& link, std::uint64_t) {
+        link.say(drain(2) + drain(2) + drain(3) + drain(2) + drain(3) + PlatformLog::frame(2, 1, {}) +
+                 drain(4));
+    };
+    follows.start();
+    run(kSecond);
+    EXPECT_EQ(user.numbers, (std::vector<std::uint64_t>{2, 3, 4}));
+    EXPECT_EQ(log.asked.size(), 1u);
+}
+
+TEST_F(ChangeLogDay, ANumberThatIsMissingIsAskedForOnceMore) {
+    bool told = false;
+    log.onAsk = [&](HandLog::Link& link, std::uint64_t) {
+        link.say((std::exchange(told, true) ? drain(2) : "") + drain(3) + drain(4));
+    };
+    follows.start();
+    run(kSecond);
+    EXPECT_EQ(user.numbers, (std::vector<std::uint64_t>{2, 3, 4}));
+    EXPECT_EQ(log.asked, (std::vector<std::uint64_t>{1, 1}));
+}
+
+// One that no change log has does not keep back what follows it.
+TEST_F(ChangeLogDay, ANumberThatDoesNotExistIsPassedOver) {
+    log.onAsk = [&](HandLog::Link& link, std::uint64_t from) {
+        if (from < 3) link.say(drain(3));
+        if (from < 9) link.say(drain(9));
+    };
+    log.last = 9;
+    follows.start();
+    run(3 * kSecond);
+    EXPECT_EQ(user.numbers, (std::vector<std::uint64_t>{3, 9}));
+    EXPECT_LE(log.asked.size(), 3u);
+    EXPECT_GE(user.currents, 1);
+}
+
+TEST_F(ChangeLogDay, AWholeListStandsForAllThatCameBefore) {
+    log.onAsk = [&](HandLog::Link& link, std::uint64_t) {
+        link.say(PlatformLog::frame(30, 1, {{7, place(9)}}) + drain(31) + PlatformLog::frame(30, 1, {}) +
+                 drain(32));
+    };
+    follows.start();
+    run(500'000);
+    EXPECT_EQ(user.numbers, (std::vector<std::uint64_t>{30, 31, 32}));
+    EXPECT_EQ(log.asked.size(), 1u);
+}
+
+}  // namespace
+}  // namespace valekeel
