A silence of the change log is judged by whole frames, not by bytes

Cause: ChangeLog::readable put the silence off at each read. And one whose first word always takes over 1.5 s was asked for ever and never heard (AnAnswerThatIsAlwaysLateIsHeard). Ruled out: half a frame and then nothing, found by 1.5 s before as now.

Change: frame() alone puts it off. Where one that was asked said no whole frame, the next is given twice the time, up to 6 s, so a list of 110 kB at 25 kB a second still comes through (AWholeListThatComesSlowlyIsTaken; fails without that). 1.5 s stays: an empty frame is due each second, and 4 s hold a silence of the connection that stood, one more of the next, and the third question. Each test was seen to fail without its line.

--- a/src/node/changelog.cpp
+++ b/src/node/changelog.cpp
@@ -115,10 +115,11 @@
       reader_(std::move(reader)),
       times_(times),
       user_(user),
-      silent_(net, [this] { lost("silent"); }),
+      silent_(net, [this] { silence(); }),
       again_(net, [this] { open(); }),
       more_(net, [this] { readable(); }),
-      wait_(times.again) {}
+      wait_(times.again),
+      patience_(times.silent) {}
 ChangeLog::~ChangeLog() = default;
 
 void ChangeLog::open() {
@@ -127,7 +128,7 @@
     again_.cancel();
     more_.cancel();
     reader_.reset();
-    sent_ = false;
+    sent_ = heard_ = false;
     stream_ = net_.connect(at_, *this);
     silent_.after(times_.connectWithin);
 }
@@ -137,6 +138,7 @@
     if (to == at_ && stream_) return;  // if it is about to end there, that shows
     at_ = to;
     wait_ = times_.again;
+    patience_ = times_.silent;
     again_.after(0);
 }
 
@@ -146,7 +148,7 @@
     const net::Moved put = stream_->write(std::string_view(number.data(), number.size()));
     if (put.bytes != number.size()) return lost("can't be asked");
     sent_ = true;
-    silent_.after(times_.silent);
+    silent_.after(patience_);
 }
 
 void ChangeLog::readable() {
@@ -156,7 +158,6 @@
         const net::Moved got = stream_->read(buffer);
         if (got.then == net::Moved::Then::Again) return;
         if (got.then != net::Moved::Then::More) return lost("it broke off");
-        silent_.after(times_.silent);
         gap_ = false;
         const bool readable =
             reader_.feed(std::string_view(buffer.data(), got.bytes),
@@ -169,7 +170,11 @@
 
 void ChangeLog::frame(const ChangeEvent& event, bool empty) {
     if (gap_) return;
+    // Only whole frames count: guards against a peer that says half of one, or a byte now and then.
+    heard_ = true;
     wait_ = times_.again;
+    patience_ = times_.silent;
+    silent_.after(patience_);
     if (empty) {
         if (event.number > last_ && gapFrom_ != last_ + 1) {
             gapFrom_ = last_ + 1;
@@ -191,6 +196,13 @@
     user_.changed(event);
 }
 
+// Guards against asking for ever where each answer takes a little longer than is waited for it: a long list
+// over a slow path, a change log that is late with its first word.
+void ChangeLog::silence() {
+    if (sent_ && !heard_) patience_ = std::min(2 * patience_, times_.silentAtMost);
+    lost(sent_ ? "silent" : "no connection");
+}
+
 void ChangeLog::lost(const std::string& why) {
     silent_.cancel();
     more_.cancel();
--- a/src/node/changelog.hpp
+++ b/src/node/changelog.hpp
@@ -38,8 +38,9 @@
 
 struct ChangeLogTimes {
     Micros connectWithin = 1'200'000;  // some come up late, by up to a second
-    Micros silent = 1'500'000;         // an empty frame is due each second
-    Micros again = 100'000;            // after a break, and doubled up to
+    Micros silent = 1'500'000;         // without a whole frame; doubled where one asked said none, up to
+    Micros silentAtMost = 6 * kSecond;
+    Micros again = 100'000;  // after a break, and doubled up to
     Micros againAtMost = 400'000;
 };
 
@@ -64,6 +65,7 @@
   private:
     void open();
     void lost(const std::string& why);
+    void silence();
     void frame(const ChangeEvent&, bool empty);
     void connected() override;
     void connectFailed(net::NoStream) override { lost("no connection"); }
@@ -78,8 +80,9 @@
     ChangeLogUser& user_;
     std::unique_ptr<net::Stream> stream_;
     net::Timer silent_, again_, more_;
-    Micros wait_;
-    bool well_ = false, gap_ = false, sent_ = false;
+    Micros wait_, patience_;
+    bool well_ = false, gap_ = false;
+    bool sent_ = false, heard_ = false;  // on this connection: the question, a whole frame
     std::uint64_t gapFrom_ = 0;
 };
 
--- a/tests/changelog_test.cpp
+++ b/tests/changelog_test.cpp
@@ -288,6 +288,24 @@
     EXPECT_LE(world.now() - from, kAfterReload);
 }
 
+// A silence is judged by whole frames. Bytes that never become one keep nobody waiting.
+TEST_F(ChangeLogDay, AByteAtATimeIsASilence) {
+    follows.start();
+    run(1'500'000);
+    log.beats = false;
+    const std::string event = PlatformLog::frame(2, 2, std::vector<PlatformLog::Box>(40, {7, place(9), 1}));
+    HandLog::Link& first = log.newest();
+    log.tells({{2, drain(2)}});
+    const Micros from = world.now();
+    for (std::size_t i = 0; i < event.size() && !has(2) && world.now() < from + 6 * kSecond; ++i) {
+        first.say(event.substr(i, 1));
+        run(400'000);
+    }
+    until([&] { return has(2); });
+    EXPECT_LE(world.now() - from, kAfterSilence);
+    EXPECT_EQ(first.stream, nullptr);
+}
+
 TEST_F(ChangeLogDay, HalfAFrameAndThenNothingIsASilence) {
     follows.start();
     for (int times = 0; times < 3; ++times) {  // and more than once, late
@@ -303,6 +321,42 @@
     }
 }
 
+// A list as long as may be comes through, however slowly, and one that is late with its first word.
+TEST_F(ChangeLogDay, AWholeListThatComesSlowlyIsTaken) {
+    std::vector<PlatformLog::Box> boxes;
+    for (std::uint32_t i = 0; i < 4096; ++i) boxes.push_back({i, place(9)});
+    const std::string all = PlatformLog::frame(2, 1, boxes);
+    log.beats = false;
+    follows.start();
+    HandLog::Link* to = nullptr;
+    std::size_t at = 0;
+    const Micros from = world.now();
+    while (!has(2) && world.now() < from + 20 * kSecond) {
+        run(50'000);  // 25 kB a second
+        if (log.links.empty()) continue;
+        if (to != &log.newest()) at = 0;
+        to = &log.newest();
+        to->say(all.substr(at, 1250));
+        at = std::min(all.size(), at + 1250);
+    }
+    EXPECT_TRUE(has(2));
+}
+TEST_F(ChangeLogDay, AnAnswerThatIsAlwaysLateIsHeard) {
+    log.beats = false;
+    std::vector<std::pair<Micros, HandLog::Link*>> due;
+    log.onAsk = [&](HandLog::Link& link, std::uint64_t) {
+        due.emplace_back(world.now() + 2 * kSecond, &link);
+    };
+    follows.start();
+    const Micros from = world.now();
+    while (!has(2) && world.now() < from + 20 * kSecond) {
+        run(50'000);
+        for (auto& [when, link] : due)
+            if (world.now() >= when) link->say(drain(2));
+    }
+    EXPECT_TRUE(has(2));
+}
+
 // It takes the connection and never says a word: after 4 s it has been asked again, and hears the rest.
 TEST_F(ChangeLogDay, OneThatTakesConnectionsAndSaysNothing) {
     follows.start();
