Fronts that lose the change log together ask again apart, and one that keeps breaking is not rushed

Seen: 100 fronts that lose it at once, or are told to move, were all back within the same 5 ms (FrontsThatLoseItTogetherAskAgainApart); one that tells a word and breaks was asked 99 times in 10 s by each front (OneThatBreaksAsSoonAsItHasToldIsNotRushed). Cause: lost() waited a fixed time, moveTo none, and frame() reset the back-off at each frame.

Change: the wait is drawn from a half to three halves of the back-off (0.6 s at most, within the 2 s after a break), a move from 0 to 0.1 s; the back-off starts anew only after a connection that held for a second, when an empty frame was due. Each part was taken out by itself and the tests seen to fail.

--- a/src/node/changelog.cpp
+++ b/src/node/changelog.cpp
@@ -134,12 +134,13 @@
 }
 
 // The connection that stands is heard until the next is opened: no call of it meets a half-made move.
+// All fronts are told to move at once: a little apart.
 void ChangeLog::moveTo(const net::Endpoint& to) {
     if (to == at_ && stream_) return;  // if it is about to end there, that shows
     at_ = to;
     wait_ = times_.again;
     patience_ = times_.silent;
-    again_.after(0);
+    again_.after(static_cast<Micros>(net_.draw() % static_cast<std::uint64_t>(times_.again)));
 }
 
 void ChangeLog::connected() {
@@ -148,6 +149,7 @@
     const net::Moved put = stream_->write(std::string_view(number.data(), number.size()));
     if (put.bytes != number.size()) return lost("can't be asked");
     sent_ = true;
+    askedAt_ = net_.now();
     silent_.after(patience_);
 }
 
@@ -172,7 +174,6 @@
     if (gap_) return;
     // Only whole frames count: guards against a peer that says half of one, or a byte now and then.
     heard_ = true;
-    wait_ = times_.again;
     patience_ = times_.silent;
     silent_.after(patience_);
     if (empty) {
@@ -208,7 +209,11 @@
     more_.cancel();
     // At once: what it would call later meets nobody. It may be calling right now, which a stream allows for.
     stream_.reset();
-    again_.after(wait_);
+    // Only one that has held is asked again at once: guards against a handshake for each word of one that
+    // breaks whenever it is asked, times all fronts.
+    if (heard_ && net_.now() - askedAt_ >= times_.beat) wait_ = times_.again;
+    const Micros apart = static_cast<Micros>(net_.draw() % static_cast<std::uint64_t>(wait_));
+    again_.after(wait_ / 2 + apart);  // all fronts may have lost it at once
     wait_ = std::min(2 * wait_, times_.againAtMost);
     if (std::exchange(well_, false)) user_.unreachable(why);
 }
--- a/src/node/changelog.hpp
+++ b/src/node/changelog.hpp
@@ -38,9 +38,10 @@
 
 struct ChangeLogTimes {
     Micros connectWithin = 1'200'000;  // some come up late, by up to a second
+    Micros beat = kSecond;             // an empty frame is due so often
     Micros silent = 1'500'000;         // without a whole frame; doubled where one asked said none, up to
     Micros silentAtMost = 6 * kSecond;
-    Micros again = 100'000;  // after a break, and doubled up to
+    Micros again = 100'000;  // after a break, give or take a half of it, and doubled up to
     Micros againAtMost = 400'000;
 };
 
@@ -80,7 +81,7 @@
     ChangeLogUser& user_;
     std::unique_ptr<net::Stream> stream_;
     net::Timer silent_, again_, more_;
-    Micros wait_, patience_;
+    Micros wait_, patience_, askedAt_ = 0;
     bool well_ = false, gap_ = false;
     bool sent_ = false, heard_ = false;  // on this connection: the question, a whole frame
     std::uint64_t gapFrom_ = 0;
--- a/tests/changelog_test.cpp
+++ b/tests/changelog_test.cpp
@@ -370,6 +370,54 @@
     EXPECT_EQ(user.whys, std::vector<std::string>{"silent"});
 }
 
+// Handshakes are paid for over all fronts: one that breaks as often as it is asked costs a few a second.
+TEST_F(ChangeLogDay, OneThatBreaksAsSoonAsItHasToldIsNotRushed) {
+    std::uint64_t next = 2;
+    log.onAsk = [&](HandLog::Link& link, std::uint64_t) {
+        link.say(drain(next++));
+        link.stream.reset();
+    };
+    follows.start();
+    run(10 * kSecond);
+    EXPECT_LE(log.asked.size(), 35u);
+    EXPECT_GE(log.asked.size(), 15u);
+    EXPECT_EQ(user.numbers.size(), log.asked.size());
+}
+
+// All fronts lose the change log in the same moment, and must not all be back in the same one.
+TEST(ChangeLog, FrontsThatLoseItTogetherAskAgainApart) {
+    net::VirtualWorld world{3};
+    net::VirtualNode& there = world.node("log", place(2).ip);
+    HandLog log(there, place(2));
+    std::vector<std::unique_ptr<Heard>> heard;
+    std::vector<std::unique_ptr<node::ChangeLog>> fronts;
+    for (int i = 0; i < 100; ++i) {
+        auto& front = world.node("f" + std::to_string(i), place(10 + i).ip);
+        heard.push_back(std::make_unique<Heard>());
+        fronts.push_back(std::make_unique<node::ChangeLog>(front, place(2), 1, node::FrameReader(1, 1, 16),
+                                                           node::ChangeLogTimes{}, *heard.back()));
+        fronts.back()->start();
+    }
+    world.runUntil(world.now() + 1'500'000);
+    for (const bool reload : {false, true}) {
+        std::map<Micros, int> byMilli;
+        HandLog other(there, place(3));
+        (reload ? other : log).onAsk = [&](HandLog::Link&, std::uint64_t) { ++byMilli[world.now() / 5'000]; };
+        if (reload) {
+            for (const auto& front : fronts) front->moveTo(other.at());
+        } else {
+            log.breakAll();
+        }
+        world.runUntil(world.now() + kAfterBreak);
+        int all = 0;
+        for (const auto& [at, count] : byMilli) {
+            EXPECT_LE(count, 25) << reload;
+            all += count;
+        }
+        EXPECT_EQ(all, 100) << reload;
+    }
+}
+
 // ---- numbers ----
 
 TEST_F(ChangeLogDay, WhatIsToldTwiceIsTakenOnce) {
