A change log that is away from the start, or at a new address, is said to be away

Seen: a front that came up while the change log was away said nothing of it, whatever it logged later, and so did one that was moved from one dead address to another. Cause: well_ began false and a move left it, so lost() told its user nothing. Ruled out: it was asked on, and heard within a second of coming up; without a descriptor left as well.

Change: the first failure of a start and of a move is told too. The module's listFailed does nothing on the platform (followList is empty there). Away..., OutOfDescriptorsItTriesAgain and ComesUpOnAnOldListWhileTheChangeLogIsAway were seen to fail without it.

Looked at and left: after the first time current() tells the module nothing, and a break doesn't make its list stale again. `stale` only paces all joins of a front that came up less than a warm-up ago; a break is asked again within 2 s, and to pace all joins for an outage of 8 s would cost more than the starts that it hides.

--- a/src/node/changelog.cpp
+++ b/src/node/changelog.cpp
@@ -140,6 +140,7 @@
     at_ = to;
     wait_ = times_.again;
     patience_ = times_.silent;
+    well_ = true;
     again_.after(static_cast<Micros>(net_.draw() % static_cast<std::uint64_t>(times_.again)));
 }
 
--- a/src/node/changelog.hpp
+++ b/src/node/changelog.hpp
@@ -50,7 +50,7 @@
     virtual ~ChangeLogUser() = default;
     virtual void changed(const ChangeEvent&) = 0;
     virtual void current() = 0;                            // all that there was has been told
-    virtual void unreachable(const std::string& why) = 0;  // at the first failure after it was well
+    virtual void unreachable(const std::string& why) = 0;  // at the first failure: of a start, or since well
 };
 
 class ChangeLog final : private net::StreamUser {
@@ -82,7 +82,7 @@
     std::unique_ptr<net::Stream> stream_;
     net::Timer silent_, again_, more_;
     Micros wait_, patience_, askedAt_ = 0;
-    bool well_ = false, gap_ = false;
+    bool well_ = true, gap_ = false;
     bool sent_ = false, heard_ = false;  // on this connection: the question, a whole frame
     std::uint64_t gapFrom_ = 0;
 };
--- a/tests/changelog_test.cpp
+++ b/tests/changelog_test.cpp
@@ -1,14 +1,17 @@
 // The connection to the change log, driven by hand: each test forces one crossing of what may happen to it at
-// once, on a virtual clock, against a change log of the test's own. The bounds are
+// once, on a virtual clock (descriptors: on sockets), against a change log of the test's own. The bounds are
 // those of the platform's page: what there is to tell counts as told 2 s after a break, 4 s after a silence
 // or a SIGHUP began.
 #include "node/changelog.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 
+#include "loop.hpp"
 #include "net/virtual.hpp"
 #include "standins/platform.hpp"
 
@@ -467,5 +470,47 @@
     EXPECT_EQ(log.asked.size(), 1u);
 }
 
+// ---- from the start ----
+
+// It is away when the front comes up: that is said once, it is asked on, and tells all there was.
+TEST_F(ChangeLogDay, AwayFromTheStartItIsAskedUntilItIsThere) {
+    log.down();
+    follows.start();
+    run(8 * kSecond);
+    EXPECT_EQ(user.whys, std::vector<std::string>{"no connection"});
+    follows.moveTo(place(3));  // nor is anybody there: said of each address
+    run(kSecond);
+    EXPECT_EQ(user.whys.size(), 2u);
+    follows.moveTo(place(2));
+    run(kSecond);
+    log.tells({{2, drain(2)}, {3, drain(3)}});
+    log.up();
+    EXPECT_LE(until([&] { return has(3); }), kAfterBreak / 2);
+    EXPECT_EQ(log.asked, std::vector<std::uint64_t>{1});
+}
+
+// Without a descriptor left it goes on trying, and hears all there was to tell once there is one.
+TEST(ChangeLog, OutOfDescriptorsItTriesAgain) {
+    Loop loop;
+    HandLog log(loop.net, Loop::any());
+    log.tells({{2, drain(2)}, {3, drain(3)}});
+    Heard user;
+    node::ChangeLog follows(loop.net, log.at(), 1, node::FrameReader(1, 1, 16), node::ChangeLogTimes{}, user);
+    rlimit before{};
+    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &before), 0);
+    const int nextFree = ::dup(STDERR_FILENO);
+    ASSERT_GE(nextFree, 0);
+    ::close(nextFree);
+    const rlimit none{static_cast<rlim_t>(nextFree), before.rlim_max};
+    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none), 0);
+    follows.start();
+    loop.run(kSecond);
+    const auto asked = log.asked.size();
+    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &before), 0);
+    EXPECT_EQ(asked, 0u);
+    EXPECT_EQ(user.whys, std::vector<std::string>{"no connection"});
+    EXPECT_TRUE(loop.until([&] { return user.numbers.size() == 2; }, kAfterBreak));
+}
+
 }  // namespace
 }  // namespace valekeel
