--- a/src/node/changelog.cpp
+++ b/src/node/changelog.cpp
@@ -115,27 +115,33 @@
       reader_(std::move(reader)),
       times_(times),
       user_(user),
-      silent_(net, [this] { lost("silent"); }),
+      silent_(net, [this] { silence(); }),
       again_(net, [this] { open(); }),
       more_(net, [this] { readable(); }),
-      wait_(times.again) {}
+      wait_(times.again),
+      patience_(times.silent) {}
 ChangeLog::~ChangeLog() = default;
 
 void ChangeLog::open() {
-    dead_.reset();
+    // What lies unread on a connection that is left was told in time, and the next one to ask may not be up.
+    if (stream_) readable();
+    again_.cancel();
+    more_.cancel();
     reader_.reset();
-    sent_ = false;
+    sent_ = heard_ = false;
     stream_ = net_.connect(at_, *this);
     silent_.after(times_.connectWithin);
 }
 
+// The connection that stands is heard until the next is opened: no call of it meets a half-made move.
+// All fronts are told to move at once: a little apart.
 void ChangeLog::moveTo(const net::Endpoint& to) {
+    if (to == at_ && stream_) return;  // if it is about to end there, that shows
     at_ = to;
     wait_ = times_.again;
-    silent_.cancel();
-    more_.cancel();
-    dead_ = std::move(stream_);
-    again_.after(0);
+    patience_ = times_.silent;
+    well_ = true;
+    again_.after(static_cast<Micros>(net_.draw() % static_cast<std::uint64_t>(times_.again)));
 }
 
 void ChangeLog::connected() {
@@ -144,7 +150,8 @@
     const net::Moved put = stream_->write(std::string_view(number.data(), number.size()));
     if (put.bytes != number.size()) return lost("can't be asked");
     sent_ = true;
-    silent_.after(times_.silent);
+    askedAt_ = net_.now();
+    silent_.after(patience_);
 }
 
 void ChangeLog::readable() {
@@ -154,7 +161,6 @@
         const net::Moved got = stream_->read(buffer);
         if (got.then == net::Moved::Then::Again) return;
         if (got.then != net::Moved::Then::More) return lost("it broke off");
-        silent_.after(times_.silent);
         gap_ = false;
         const bool readable =
             reader_.feed(std::string_view(buffer.data(), got.bytes),
@@ -167,7 +173,10 @@
 
 void ChangeLog::frame(const ChangeEvent& event, bool empty) {
     if (gap_) return;
-    wait_ = times_.again;
+    // Only whole frames count: guards against a peer that says half of one, or a byte now and then.
+    heard_ = true;
+    patience_ = times_.silent;
+    silent_.after(patience_);
     if (empty) {
         if (event.number > last_ && gapFrom_ != last_ + 1) {
             gapFrom_ = last_ + 1;
@@ -189,13 +198,25 @@
     user_.changed(event);
 }
 
+// Guards against asking for ever where each answer takes a little longer than is waited for it: a long list
+// over a slow path, a change log that is late with its first word.
+void ChangeLog::silence() {
+    if (sent_ && !heard_) patience_ = std::min(2 * patience_, times_.silentAtMost);
+    lost(sent_ ? "silent" : "no connection");
+}
+
 void ChangeLog::lost(const std::string& why) {
     silent_.cancel();
     more_.cancel();
-    dead_ = std::move(stream_);  // this very call may come from within it
-    if (std::exchange(well_, false)) user_.unreachable(why);
-    again_.after(wait_);
+    // At once: what it would call later meets nobody. It may be calling right now, which a stream allows for.
+    stream_.reset();
+    // Only one that has held is asked again at once: guards against a handshake for each word of one that
+    // breaks whenever it is asked, times all fronts.
+    if (heard_ && net_.now() - askedAt_ >= times_.beat) wait_ = times_.again;
+    const Micros apart = static_cast<Micros>(net_.draw() % static_cast<std::uint64_t>(wait_));
+    again_.after(wait_ / 2 + apart);  // all fronts may have lost it at once
     wait_ = std::min(2 * wait_, times_.againAtMost);
+    if (std::exchange(well_, false)) user_.unreachable(why);
 }
 
 }  // namespace valekeel::node
--- a/src/node/changelog.hpp
+++ b/src/node/changelog.hpp
@@ -37,9 +37,11 @@
 };
 
 struct ChangeLogTimes {
-    Micros connectWithin = 500'000;
-    Micros silent = 1'500'000;  // an empty frame is due each second
-    Micros again = 100'000;     // after a break, and doubled up to
+    Micros connectWithin = 1'200'000;  // some come up late, by up to a second
+    Micros beat = kSecond;             // an empty frame is due so often
+    Micros silent = 1'500'000;         // without a whole frame; doubled where one asked said none, up to
+    Micros silentAtMost = 6 * kSecond;
+    Micros again = 100'000;  // after a break, give or take a half of it, and doubled up to
     Micros againAtMost = 400'000;
 };
 
@@ -48,7 +50,7 @@
     virtual ~ChangeLogUser() = default;
     virtual void changed(const ChangeEvent&) = 0;
     virtual void current() = 0;                            // all that there was has been told
-    virtual void unreachable(const std::string& why) = 0;  // at the first failure after it was well
+    virtual void unreachable(const std::string& why) = 0;  // at the first failure: of a start, or since well
 };
 
 class ChangeLog final : private net::StreamUser {
@@ -57,12 +59,14 @@
               ChangeLogUser&);
     ~ChangeLog() override;
     void start() { open(); }
-    void moveTo(const net::Endpoint&);  // from here on it is asked there
+    // From here on it is asked there; also from within a call to the user.
+    void moveTo(const net::Endpoint&);
     std::uint64_t last() const { return last_; }
 
   private:
     void open();
     void lost(const std::string& why);
+    void silence();
     void frame(const ChangeEvent&, bool empty);
     void connected() override;
     void connectFailed(net::NoStream) override { lost("no connection"); }
@@ -75,10 +79,11 @@
     FrameReader reader_;
     ChangeLogTimes times_;
     ChangeLogUser& user_;
-    std::unique_ptr<net::Stream> stream_, dead_;
+    std::unique_ptr<net::Stream> stream_;
     net::Timer silent_, again_, more_;
-    Micros wait_;
-    bool well_ = false, gap_ = false, sent_ = false;
+    Micros wait_, patience_, askedAt_ = 0;
+    bool well_ = true, gap_ = false;
+    bool sent_ = false, heard_ = false;  // on this connection: the question, a whole frame
     std::uint64_t gapFrom_ = 0;
 };
 
