The end after SIGTERM: before the earliest SIGKILL, and not before all is read, told and taken

With timeouts of 5 s, as one known site has, SIGKILL may come at 3.7 s and the front meant to release at 5.65 s; with 1.5 s at 2.2 s, and it meant 3.65 s. (2) mayStop ended at 0.7 s by its timer although a connection or a set-up waited to be read. (3) It called back as soon as it had said the releases: those unsent here, and the ends for media servers, died with the process. (4) What was open at the end got no answer. Listener::takeWaiting hands out what the kernel has accepted before the listening socket goes. Tests NodeEnd.*: ASetupThatLiesUnreadAtTheEarliestEndIsAnswered, AllIsAnsweredAndReleasedBeforeTheEarliestKill and WaitsUntilWhatItSaidIsTaken, each seen to fail with its mend taken out.

--- a/src/net/epoll.cpp
+++ b/src/net/epoll.cpp
@@ -211,6 +211,7 @@
         ::close(fd_);
     }
     Endpoint at() const override { return at_; }
+    void takeWaiting() override { takeAll(); }
 
   private:
     void happened(std::uint32_t) override { takeAll(); }
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -64,6 +64,8 @@
   public:
     virtual ~Listener() = default;
     virtual Endpoint at() const = 0;
+    // Hands out all that already wait in the kernel: deleting a listener resets those.
+    virtual void takeWaiting() {}
 };
 
 class DatagramUser {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,9 +17,28 @@
 using setup::Json;
 
 constexpr Micros kStatusEvery = 5 * kSecond;
-constexpr Micros kAnswerMargin = 30'000;      // before a client timeout
-constexpr Micros kStopComing = 700'000;       // after SIGTERM requests come for so long
-constexpr Micros kLeastPlayOn = 3 * kSecond;  // a planned restart waits so long at least
+constexpr Micros kAnswerMargin = 30'000;  // before a client timeout
+
+// A planned restart, by the platform's page: after SIGTERM connections go on coming for up to 0.4 s and
+// requests for 0.2 s more; SIGKILL comes no sooner than the longest client timeout, counted as 3 s where it
+// is longer, and 0.7 s after SIGTERM. From that, counted from when SIGTERM was heard here:
+//   0 to 0.7 s     all is taken as before. What has come by then is not lost if SIGKILL finds it open.
+//   from 0.7 s     the end comes as soon as nothing is open, plays or waits to be told, and nothing has come
+//   in
+//                  some turns of the loop: what lay unread has been read by then.
+//   kill - 0.4 s   what plays is released, here and at its media server, which has 0.25 s to confirm; what
+//                  begins to play later is released at once; what still asks is refused.
+//   kill - 0.15 s  what is still open is answered as failed. Those that came last and wait longest have had
+//   all
+//                  but 0.05 s of their time. Then all connections are closed, by half-closes.
+//   kill - 0.05 s  the end, also where somebody has not closed his side.
+// The margins are for a slice of a core, on which a few milliseconds of work are ten times as many of the
+// clock.
+constexpr Micros kStopComing = 700'000;
+constexpr Micros kMostCounted = 3 * kSecond;
+constexpr Micros kReleaseBefore = 400'000, kAnswerBefore = 150'000, kEndBefore = 50'000;
+constexpr Micros kStopLook = 20'000;
+constexpr int kQuietLooks = 3;  // on end, at which nothing had come since the one before
 
 net::Endpoint endpoint(const Json& object, const char* key, const std::string& where) {
     const std::string told = setup::text(object, key, where);
@@ -119,7 +138,7 @@
           where(file + ": settings"),
           names(setup::namesOf(settings, where)),
           listNames(names.kinds, names.zones),
-          longest(std::max(kLeastPlayOn, longestTimeout(settings, where))),
+          killed(std::min(kMostCounted, longestTimeout(settings, where)) + kStopComing),
           changelogAt(endpoint(all, "changelog", file)),
           known(knownEvents(partOf(all, "known", file), listNames)),
           viewers(net, endpoint(all, "listen", file), viewerLimits(settings, descriptors(all, file), where),
@@ -282,15 +301,22 @@
 
     // ---- the end ----
     void mayStop() {
+        stopping.after(kStopLook);
         const Micros since = net.now() - stopAt;
-        const bool nothing = core.unanswered() == 0 && core.held() == 0;
-        if ((since >= kStopComing && nothing) || since >= longest + kStopComing - 50'000) {
-            viewers.releaseAll();
-            say(record::Level::Info, "stopped", {{"after", since}});
-            if (done) std::exchange(done, {})();
-            return;
-        }
-        stopping.after(20'000);
+        const auto past = [&](Micros before) { return since >= std::max(kStopComing, killed - before); };
+        // Only looks after that time count: a process that had no turn for a while looks before it reads.
+        quietLooks = since >= kStopComing && arrivals == viewers.arrivals() ? quietLooks + 1 : 0;
+        arrivals = viewers.arrivals();
+        const bool nothing = core.unanswered() == 0 && core.held() == 0 && viewers.untold() == 0;
+        if (past(kReleaseBefore)) viewers.releaseAll();
+        if (past(kAnswerBefore)) viewers.answerAll();
+        closing |= past(kAnswerBefore) || (since >= kStopComing && nothing && quietLooks >= kQuietLooks);
+        if (!closing) return;
+        viewers.closeAll();
+        if (viewers.connections() + viewers.lingering() > 0 && !past(kEndBefore)) return;
+        stopping.cancel();
+        say(record::Level::Info, "stopped", {{"after", since}});
+        if (done) std::exchange(done, {})();
     }
 
     net::Net& net;
@@ -300,7 +326,7 @@
     std::string where;
     setup::Names names;
     list::Names listNames;
-    Micros longest;
+    Micros killed;  // no sooner, after SIGTERM
     net::Endpoint changelogAt;
     std::vector<ChangeEvent> known;
     std::map<SfuId, ListedSfu> listed;
@@ -314,6 +340,9 @@
     ChangeLog log_;
     net::Timer status, stopping;
     Micros stopAt = 0;
+    std::uint64_t arrivals = 0;
+    int quietLooks = 0;
+    bool closing = false;
     std::function<void()> done;
 };
 
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -151,6 +151,7 @@
 
 void Viewers::listen() {
     listener_ = net_.listen(where_, *this);
+    at_ = listener_->at();
     tidyTimer_.after(kTidyEvery);
 }
 
@@ -244,6 +245,7 @@
 // ================= in =================
 
 void Viewers::heard(Conn& conn, std::string_view line) {
+    ++lines_;
     const auto message = messageOf(line);
     if (!message) {
         ++counts_.unreadable;
@@ -315,7 +317,7 @@
         return;
     }
     ++counts_.setups;
-    const bool taken = !conn.tooMany && conn.open.size() < limits_.openOnOne;
+    const bool taken = !draining_ && !conn.tooMany && conn.open.size() < limits_.openOnOne;
     const auto id = taken ? core_->ask(*this, request->wish, request->left) : std::nullopt;
     if (!id) {
         conn.wire.say(lineOf(finish(m.tag, kBusy)));
@@ -348,8 +350,12 @@
         return;
     }
     if (asking.leaving) return;
-    // Its seat counts until its media server has ended it, or has had time to.
     ++counts_.leftStanding;
+    endThere(id, asking);
+}
+
+// Its seat counts until its media server has ended it, or has had time to.
+void Viewers::endThere(SubId id, Asking& asking) {
     asking.leaving = true;
     asking.cut = std::make_unique<net::Timer>(net_, [this, id] { core_->left(id); });
     asking.cut->after(limits_.cutWithin);
@@ -444,15 +450,34 @@
 }
 
 void Viewers::releaseAll() {
-    std::vector<SubId> all;
-    for (const auto& [id, asking] : asking_)
-        if (asking.plays && !asking.leaving) all.push_back(id);
-    for (const SubId id : all) {
+    draining_ = true;
+    for (auto& [id, asking] : asking_) {
+        if (!asking.plays || asking.leaving) continue;
         release(id, kCut);
+        endThere(id, asking);
+    }
+}
+
+void Viewers::answerAll() {
+    std::vector<SubId> open;
+    for (const auto& [key, conn] : conns_) open.insert(open.end(), conn->open.begin(), conn->open.end());
+    for (const SubId id : open) {
+        tell(id, finish(asking_.at(id).words.tag, kFailed), false);
         core_->left(id);
     }
 }
 
+void Viewers::closeAll() {
+    draining_ = true;
+    if (listener_) listener_->takeWaiting();
+    listener_.reset();
+    while (!conns_.empty()) {
+        Conn& conn = *conns_.begin()->second;
+        conn.wire.readNow();
+        if (!conn.wire.isClosed()) drop(conn);
+    }
+}
+
 // ================= from media servers =================
 
 const SetupWords* Viewers::wordsOf(SubId id) {
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -58,10 +58,16 @@
         servers_ = &servers;
     }
     void listen();
-    net::Endpoint at() const { return listener_->at(); }
+    net::Endpoint at() const { return at_; }
     void forget(SubId);  // the core holds it no more
-    // All that plays is released, here and at its media server; for the end of this front.
+    // The steps of this front's end. What plays is released, to its viewer and at its media server, which has
+    // its usual time to confirm; from then on set-ups are refused.
     void releaseAll();
+    void answerAll();  // the set-ups that are still open: as failed
+    // All connections, by lingering closes, and the listening one; what has come till then is read first.
+    void closeAll();
+    std::uint64_t arrivals() const { return counts_.accepted + lines_; }
+    std::size_t untold() const { return toTell_.size(); }
     std::size_t connections() const { return conns_.size(); }
     std::size_t lingering() const { return lingering_.size(); }
     const ViewerCounts& counts() const { return counts_; }
@@ -85,6 +91,7 @@
     void heard(Conn&, std::string_view line);
     void setup(Conn&, const Message&);
     void ending(Conn&, const Message&);
+    void endThere(SubId, Asking&);
     void useless(Conn&, const Message&, const char* why);
     void connGone(Conn&);
     void drop(Conn&);
@@ -95,7 +102,7 @@
     void tidy();
 
     net::Net& net_;
-    net::Endpoint where_;
+    net::Endpoint where_, at_;
     ViewerLimits limits_;
     Asked asked_;
     std::function<void(const char*, std::string_view)> odd_ = [](const char*, std::string_view) {};
@@ -110,6 +117,8 @@
     std::deque<std::pair<Micros, std::string>> toTell_;
     std::vector<std::unique_ptr<Conn>> dead_;
     ViewerCounts counts_;
+    std::uint64_t lines_ = 0;
+    bool draining_ = false;
     net::Timer buryTimer_, tidyTimer_;
 };
 
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -149,6 +149,109 @@
     EXPECT_LE(day.nodes[11]->mostStreams(), 256u / 2 + 256 / 3 + 2);
 }
 
+// ================= the end of the process =================
+
+// Asks it to end, and ends it at the very event at which it says that it is done.
+struct Ending {
+    explicit Ending(VirtualDay& day) : day(day), asked(day.world.now()) {
+        day.front->stop([this] { over = true; });
+    }
+    void until(Micros since) {
+        while (day.world.step(asked + since))
+            if (over) day.front.reset();
+    }
+    VirtualDay& day;
+    Micros asked;
+    bool over = false;
+};
+
+// The same front with other settings, instead of the day's own.
+void restart(VirtualDay& day, const std::function<void(Json&)>& change) {
+    Json all = Json::parse(day.configuration());
+    all["listen"] = net::text(Virtual::place(15));
+    change(all);
+    day.front = std::make_unique<node::Node>(day.machine(15), "config.json", all.dump(), day.record);
+    day.viewers = day.line();
+    day.run(50'000);
+}
+
+// Guards against an end that comes between a set-up and the turn of the loop that reads it.
+TEST(NodeEnd, ASetupThatLiesUnreadAtTheEarliestEndIsAnswered) {
+    for (const bool newConnection : {false, true}) {
+        VirtualDay day;
+        Ending end(day);
+        end.until(550'000);
+        day.nodes[11]->standStill();
+        if (newConnection) day.viewers = day.line();
+        day.ask(1);
+        end.until(750'000);
+        day.nodes[11]->goOn();
+        end.until(2 * kSecond);
+        EXPECT_EQ(day.said(1), "+");
+    }
+}
+
+TEST(NodeEnd, WithNothingOpenItEndsSoon) {
+    VirtualDay day;
+    Ending end(day);
+    end.until(690'000);
+    EXPECT_FALSE(end.over);
+    end.until(kSecond);
+    EXPECT_TRUE(end.over);
+    EXPECT_TRUE(day.viewers->ended());
+}
+
+// SIGKILL may come as soon as the longest client timeout, counted as 3 s where it is longer, and 0.7 s are
+// over.
+TEST(NodeEnd, AllIsAnsweredAndReleasedBeforeTheEarliestKill) {
+    for (const double deadline : {8.0, 3.0, 1.5}) {
+        VirtualDay day;
+        restart(day, [&](Json& all) {
+            for (Json& room : all["settings"]["request_classes"]) room["deadline"] = deadline;
+        });
+        for (const auto& s : day.servers)
+            s->does = [](const std::string& tag) { return tag == idOf(2) ? Does::Nothing : Does::Plays; };
+        day.ask(1);
+        day.run(500'000);
+        Ending end(day);
+        const Micros kill = static_cast<Micros>(std::min(deadline, 3.0) * 1e6) + 700'000;
+        end.until(600'000);
+        Json last = VirtualDay::start(2, "talk", "u");
+        last["opts"]["left"] = std::to_string(static_cast<int>(deadline * 1000));
+        day.viewers->say(last);
+        end.until(kill - 500'000);
+        EXPECT_EQ(day.said(1), "+") << deadline;  // no sooner than has to be
+        end.until(kill - 300'000);
+        EXPECT_EQ(day.said(1), "+ 41") << deadline;
+        day.ask(3);
+        end.until(kill);
+        EXPECT_TRUE(end.over) << deadline;
+        EXPECT_EQ(day.said(2), "41") << deadline;
+        EXPECT_EQ(day.said(3), "42") << deadline;
+        for (const auto& s : day.servers) EXPECT_TRUE(s->standing.empty()) << deadline;
+    }
+}
+
+// A release that its viewer has no room for yet is waited for.
+TEST(NodeEnd, WaitsUntilWhatItSaidIsTaken) {
+    VirtualDay day;
+    LateReader late(day.machine(13), day.front->at());
+    late.say(VirtualDay::start(1).dump() + "\n");
+    day.run(500'000);
+    std::string tests;
+    for (int i = 0; i < 5000; ++i) tests += kTest;
+    late.say(tests);
+    Ending end(day);
+    end.until(3'450'000);
+    for (Micros at = 3'450'000; at < 4 * kSecond; at += 10'000) {
+        end.until(at);
+        if (!late.readOn()) break;
+    }
+    EXPECT_NE(late.got.find(R"("FINISH")"), std::string::npos);
+    EXPECT_EQ(late.lines(), 5002);
+    EXPECT_FALSE(late.broken);
+}
+
 // A fresh process is handed what plays as soon as it has passed its first test.
 TEST(NodeViewers, HandedOverRightBehindTheFirstTest) {
     VirtualDay day;
