--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -84,7 +84,8 @@
 constexpr Micros kLeastPatience = 250'000;
 constexpr Micros kAskAgain = 500'000;
 constexpr double kColdPart = 0.6;  // of the pace that the rules allow a cold media server
-constexpr double kCrowding = 2;  // a title sought by many takes its holders this many times their usual joins
+constexpr double kTurn =
+    3;  // tipAfters that a turn lasts: any one tipAfter meets 1 + 1/3 times as many turns
 
 }  // namespace
 
@@ -96,6 +97,7 @@
         : host_(host),
           bornAt_(now),
           chance_(static_cast<std::knuth_b::result_type>(seed)),
+          seed_(seed),
           fronts_(std::max(1, fronts)),
           ladder_(ladder),
           rooms_(rooms),
@@ -114,18 +116,17 @@
 
     // ================= what happens =================
 
-    void listed(Micros now, std::span<const ListedSfu> entries, bool stale) {
+    void listed(std::span<const ListedSfu> entries, bool stale) {
         for (auto& [id, s] : sfus_) s.standing = Standing::Off;
         listStale_ = stale;
-        listChanged(now, entries);
+        listChanged(entries);
     }
 
-    void listChanged(Micros now, std::span<const ListedSfu> entries) {
+    void listChanged(std::span<const ListedSfu> entries) {
         for (const ListedSfu& e : entries) {
             Sfu& s = sfus_[e.id];
             if (e.launched > s.startedAt) {  // a new process: what was held against the old one is void
                 s.startedAt = e.launched;
-                mayBeCold(now, s);
                 s.evidence = 0;
                 s.link = Pipe{};
             }
@@ -170,9 +171,6 @@
         sub.takenAt = now;
         sub.rung = roomOf(sub).floor;
         if (budget_) taken_.push_back(now);
-        const double kept = std::exp(-seconds(now - lastTakenAt_) / std::max(0.1, seconds(cold_.warmUp)));
-        takenInWarmUp_ = 1 + takenInWarmUp_ * kept;
-        lastTakenAt_ = now;
         waiting_.push_back(id);
         if (tooLateToWait(now, sub))
             placeAll(now);
@@ -206,7 +204,7 @@
         // It answers again after breaks or silence: it may have started just now, whatever the list says yet.
         // Guards against a rush onto a cold server; after a mere cut of the network it costs one warm-up.
         Sfu& s = sfus_[at];
-        if (s.evidence >= kVerdict && s.mayHaveRestartedAt > s.startedAt) mayHaveRestarted(now, s);
+        if (s.evidence >= kVerdict && s.mayHaveRestartedAt > s.startedAt) s.mayHaveRestartedAt = now;
         judge(now, sfus_[at], kGoodStep);
     }
 
@@ -230,7 +228,7 @@
                 // A break of what plays, or nobody there, says that the process is lost. An answer that did
                 // not come may be no more than that: one alone must not make a whole fleet count as cold.
                 if (played || end == JoinEnd::NoConnection || s.evidence >= kVerdict)
-                    mayHaveRestarted(now, s);
+                    s.mayHaveRestartedAt = now;
                 break;
             case JoinEnd::Full:
                 s.fullUntil = now + kSecond;
@@ -391,8 +389,6 @@
         double shortBy = 0;  // asked over given, by the last short note
         Micros risenAt = 0, fullUntil = 0, shortAt = -1'000 * kSecond;
         Micros lastJoinAt = -1'000 * kSecond;
-        Micros coldSeenAt = 0;  // when this front learnt that it may be cold
-        double phase = 0;       // drawn then: where its own turn lies among those of all fronts
         int joinsOut = 0;
     };
 
@@ -431,6 +427,12 @@
         if ((it->second += sign) <= 0) streams_.erase(it);
     }
 
+    static std::uint64_t mixed(std::uint64_t v) {
+        v *= 0x9E3779B97F4A7C15u;
+        v = (v ^ (v >> 29)) * 0xBF58476D1CE4E5B9u;
+        return v ^ (v >> 32);
+    }
+
     // Fronts share nothing, yet all rank the holders of a title alike, by a hash of title and id. Its viewers
     // gather at the first few that are on, warm and not set aside.
     std::vector<SfuId> gathering(Micros now, const Sub& sub) {
@@ -442,9 +444,7 @@
         for (const auto& [id, s] : sfus_) {
             if (!holds(sub, s) || s.standing != Standing::On || warmShare(now, s) < 1 || setAside(now, s))
                 continue;
-            std::uint64_t mixed = (title ^ id.v) * 0x9E3779B97F4A7C15u;
-            mixed = (mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9u;
-            order.emplace_back(mixed ^ (mixed >> 32), id);
+            order.emplace_back(mixed(title ^ id.v), id);
         }
         const auto part = static_cast<std::size_t>(kGather * std::min(sub.wish.holders, fleet_.cells));
         const std::size_t few = std::min(order.size(), std::max(kGatherLeast, part));
@@ -628,7 +628,7 @@
             return false;
         if (seatsLeft(sub) <= 0) return false;
         if (sub.joins > 0 && !budgetLeft(now)) return false;
-        return coldTurn(now, sub, s) <= turnBy;
+        return coldTurn(now, id, s) <= turnBy;
     }
 
     bool holds(const Sub& sub, const Sfu& s) const {
@@ -652,31 +652,24 @@
                budget_->free + budget_->share * static_cast<double>(taken_.size());
     }
 
-    void mayBeCold(Micros now, Sfu& s) {
-        s.coldSeenAt = now;
-        s.phase = std::uniform_real_distribution<double>(0, 1)(chance_);
-    }
-    void mayHaveRestarted(Micros now, Sfu& s) {
-        s.mayHaveRestartedAt = now;
-        mayBeCold(now, s);
-    }
-
-    // When this front may next join a media server that may be cold. All that may compete for it keep,
-    // summed, a part of the pace that it bears at its start: each has a gap between its own joins, and draws
-    // where in the first gap its turn lies, so the first joins of hundreds of fronts don't come at once.
-    // Those are the fronts with a request for it within a warm-up; each guesses them by its own.
-    Micros coldTurn(Micros now, const Sub& sub, const Sfu& s) const {
-        const bool young = warmShare(now, s) < 1;
+    // When this front may next join a media server that may be cold. Whatever traffic each front has, all of
+    // them together keep to a part of what the server bears in a tipAfter at its start: each has the same
+    // share of that part as its own number of joins in such a time. A share is mostly a fraction: it is had
+    // as a turn that lasts some tipAfters and comes back after that many divided by the fraction, at a phase
+    // that a hash gives, as fronts can't agree on one. A turn that passes unused is gone.
+    Micros coldTurn(Micros now, SfuId id, const Sfu& s) const {
         // A front that has just come up knows an old list: any media server may have restarted meanwhile.
         const bool blind = listStale_ && !handedOver_ && now - bornAt_ < cold_.warmUp;
-        if (!young && !blind) return 0;
-        const double pace =
-            kColdPart * cold_.fallMultiple * cold_.firstShare * placesOf(s) / seconds(cold_.warmUp);
-        const double holding = static_cast<double>(sub.wish.holders) / fleet_.cells;
-        const double rivals = fronts_ * std::min(1.0, takenInWarmUp_ * holding * kCrowding);
-        const double gap = std::max(1.0, rivals) * 1e6 / std::max(pace, 1e-3);
-        const Micros first = young ? s.coldSeenAt + static_cast<Micros>(s.phase * gap) : 0;
-        return std::max(first, s.lastJoinAt + static_cast<Micros>(gap));
+        if (warmShare(now, s) >= 1 && !blind) return 0;
+        const double span = static_cast<double>(cold_.tipAfter), lasts = kTurn * span;
+        const double share = kColdPart * cold_.fallMultiple * cold_.firstShare * placesOf(s) * span /
+                             static_cast<double>(cold_.warmUp) / fronts_;
+        const double gap = lasts / std::max(1e-6, share - std::floor(share));
+        const double phase = static_cast<double>(mixed(mixed(seed_) ^ id.v) >> 11) * 0x1p-53;
+        const double since = std::fmod(static_cast<double>(now) + phase * gap, gap);
+        const double joins = std::floor(share) + (since < lasts ? 1 : 0);
+        if (joins > 0) return s.lastJoinAt + static_cast<Micros>(std::ceil(span / joins));
+        return now + static_cast<Micros>(gap - since) + 1;
     }
 
     // ================= placing =================
@@ -1036,6 +1029,7 @@
     Host& host_;
     Micros bornAt_;
     std::knuth_b chance_;
+    std::uint64_t seed_;
     int fronts_;
     Ladder ladder_;
     std::vector<RoomType> rooms_;
@@ -1059,8 +1053,6 @@
     double typicalValue_ = 0;  // benefit per kB of a step of own subscriptions; others are taken to be alike
     double freeable_ = 1;   // part of own rates above the floor that may be given up now; others fare alike
     double shortPart_ = 0;  // of own subscriptions that get short delivery
-    double takenInWarmUp_ = 0;  // requests, fading by that time
-    Micros lastTakenAt_ = 0;
     bool slotOpen_ = false, listStale_ = false, handedOver_ = false;
 };
 
@@ -1071,11 +1063,11 @@
                                    allowed, prices)) {}
 Logic::~Logic() = default;
 
-void Logic::listed(Micros now, std::span<const ListedSfu> entries, bool stale) {
-    desk_->listed(now, entries, stale);
+void Logic::listed(Micros, std::span<const ListedSfu> entries, bool stale) {
+    desk_->listed(entries, stale);
 }
-void Logic::listChanged(Micros now, std::span<const ListedSfu> entries) {
-    desk_->listChanged(now, entries);
+void Logic::listChanged(Micros, std::span<const ListedSfu> entries) {
+    desk_->listChanged(entries);
 }
 void Logic::listFailed(Micros) {
     desk_->listFailed();
