Viewers: time limits read first; a release that went down with its connection is told again

Seen on the virtual net: (1) after a pause of the process, timers come before what has come meanwhile: Viewers::tidy closed a connection for its silence, and Wire's limit of a line one in pieces, with the set-up unread. Both now read, let a turn of the loop pass, and look again. (2) A release said on a connection whose reset was on its way was lost; it is kept for 1 s, until confirmed (FINISHED), and told again if the connection ends within it. (3) Viewers::sayWaiting put all waiting releases on one connection: where that was somewhat behind already, it passed the limit of unsent bytes, was closed as a slow reader, and all were lost. It now gets as many as it has room for, the rest later. A release that finds the table of waiting ones full is counted. Ruled out, with tests that pass without a change: requests in pieces, several in a segment, a request and the close in one; set-ups of a connection that ends for garbage, an id twice or useless set-ups are called off at once in all paths; no table keeps anything after a churn of 4,000 set-ups. Tests seen to fail with the mend taken out: WhatCameWhileItHadNoTurnIsReadBeforeItsConnectionIsClosed, AReleaseLostWithItsConnectionIsToldAgain, ManyReleasesForOneConnectionDoNotCloseIt.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -354,6 +354,14 @@
     return parts_->viewers.at();
 }
 
+std::size_t Node::remembered() const {
+    const Parts& p = *parts_;
+    return p.core.held() + p.viewers.remembered() + p.servers.out() + p.servers.standing();
+}
+std::size_t Node::connections() const {
+    return parts_->viewers.connections() + parts_->viewers.lingering();
+}
+
 void Node::reread(const std::string& text) {
     try {
         const Json all = readConfiguration(parts_->file, text);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -23,6 +23,9 @@
     net::Endpoint at() const;
     // The configuration was replaced. One that can't be read is passed over: the one held applies.
     void reread(const std::string& text);
+    // Entries in all tables that grow with what viewers do, and connections: for tests of what is left over.
+    std::size_t remembered() const;
+    std::size_t connections() const;
     // Goes on as before while requests may still come, answers all that was taken, and lets what plays go on
     // for as long as a planned restart leaves. Then it releases what is left and calls back.
     void stop(std::function<void()> done);
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -124,6 +124,7 @@
     Micros since;
     // It has brought something of use; a set-up; one that played.
     bool proven = false, asked = false, played = false;
+    bool silent = false;   // at the last look
     bool tooMany = false;  // accepted where there was no room: its set-ups are refused
     std::set<SubId> open;  // set-ups without an answer
     int useless = 0;
@@ -214,6 +215,14 @@
     dead_.push_back(std::move(it->second));
     conns_.erase(it);
     buryTimer_.soon();
+    for (auto told = unheard_.begin(); told != unheard_.end();) {
+        if (told->second.conn != conn.key) {
+            ++told;
+            continue;
+        }
+        tellLater(told->second.at, told->first, std::move(told->second.line));
+        told = unheard_.erase(told);
+    }
     for (const SubId id : open) {
         ++counts_.givenUp;
         core_->left(id);
@@ -227,19 +236,21 @@
     for (const auto& [key, conn] : conns_) {
         if (!conn->open.empty()) continue;
         const Micros rest = now - std::max(conn->wire.heardAt(), conn->wire.usedAt());
-        if (conn->proven ? rest > limits_.idle && conn->standing == 0
-                         : now - conn->since > limits_.provenWithin)
-            idle.push_back(conn.get());
+        const bool silent = conn->proven ? rest > limits_.idle && conn->standing == 0
+                                         : now - conn->since > limits_.provenWithin;
+        // At the second look that finds it so: a process that had no turn for a while looks before it reads.
+        if (std::exchange(conn->silent, silent) && silent) idle.push_back(conn.get());
     }
     for (Conn* conn : idle) {
         counts_.silent += !conn->proven;
         drop(*conn);
     }
     sayWaiting();
-    while (!toTell_.empty() && now - toTell_.front().first > limits_.tellFor) {
+    while (!toTell_.empty() && now - toTell_.front().since > limits_.tellFor) {
         ++counts_.untold;
         toTell_.pop_front();
     }
+    std::erase_if(unheard_, [&](const auto& told) { return now - told.second.at > limits_.heardWithin; });
 }
 
 // ================= in =================
@@ -262,7 +273,9 @@
         passed.tag = message->tag;
         passed.cause = 1;
         conn.wire.say(lineOf(passed));
-    } else if (message->verb != "FINISHED" && message->verb != "PENDING") {
+    } else if (message->verb == "FINISHED") {
+        if (const auto told = unheard_.find(message->tag); told != unheard_.end()) unheard_.erase(told);
+    } else if (message->verb != "PENDING") {
         return useless(conn, *message, "unknown verb");
     }
 }
@@ -371,15 +384,30 @@
     const std::string line = lineOf(message);
     if (const auto conn = conns_.find(it->second.conn); conn != conns_.end()) {
         conn->second->open.erase(id);
-        conn->second->wire.say(line);
+        if (release)
+            sayRelease(*conn->second, message.tag, line);
+        else
+            conn->second->wire.say(line);
         return;
     }
     if (!release) return;
-    if (toTell_.size() >= limits_.toTell) toTell_.pop_front();
-    toTell_.emplace_back(net_.now(), line);
+    tellLater(net_.now(), message.tag, line);
     sayWaiting();
 }
 
+void Viewers::sayRelease(Conn& conn, const std::string& tag, const std::string& line) {
+    conn.wire.say(line);
+    if (unheard_.size() < limits_.toTell) unheard_[tag] = {net_.now(), conn.key, line};
+}
+
+void Viewers::tellLater(Micros since, std::string tag, std::string line) {
+    if (toTell_.size() >= limits_.toTell) {  // the oldest has had its chance
+        ++counts_.untold;
+        toTell_.pop_front();
+    }
+    toTell_.push_back({since, std::move(tag), std::move(line)});
+}
+
 // Releases whose own connection is gone: on one that belongs to viewers whose subscriptions play. Another may
 // be anybody's, and what is said there is lost; it is taken only once no better one has come for a while.
 void Viewers::sayWaiting() {
@@ -390,10 +418,12 @@
     };
     for (const auto& [key, conn] : conns_)
         if (conn->proven && (!pick || rank(*conn) > rank(*pick))) pick = conn.get();
-    while (pick && !toTell_.empty() &&
-           (pick->played || net_.now() - toTell_.front().first > limits_.tellAnyAfter)) {
-        pick->wire.say(toTell_.front().second);
+    // Not more than it has room for: else it would be taken for one that does not read, and closed with them.
+    while (pick && !toTell_.empty() && pick->wire.unsent() < limits_.unsent / 2 &&
+           (pick->played || net_.now() - toTell_.front().since > limits_.tellAnyAfter)) {
+        const Untold next = std::move(toTell_.front());
         toTell_.pop_front();
+        sayRelease(*pick, next.tag, next.line);
     }
 }
 
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -28,7 +28,9 @@
     Micros tellFor = 8'000'000;       // a release that no connection takes is kept for so long
     Micros tellAnyAfter = 3'000'000;  // where no connection of viewers that play stands
     std::size_t toTell = 4'096;       // of them
-    Micros linger = kSecond;          // a connection that was just told something, past its close
+    // A release whose connection ends so soon after it, unconfirmed, may be lost with it: it is told again.
+    Micros heardWithin = kSecond;
+    Micros linger = kSecond;  // a connection that was just told something, past its close
     std::size_t lingerBytes = 256 * 1024;
     Micros cutWithin = 400'000;  // a media server confirms the end of what its viewer left
 };
@@ -68,6 +70,10 @@
     void closeAll();
     std::uint64_t arrivals() const { return counts_.accepted + lines_; }
     std::size_t untold() const { return toTell_.size(); }
+    // All tables that grow with what viewers do; empty again once they have gone.
+    std::size_t remembered() const {
+        return asking_.size() + byTag_.size() + toTell_.size() + unheard_.size() + dead_.size();
+    }
     std::size_t connections() const { return conns_.size(); }
     std::size_t lingering() const { return lingering_.size(); }
     const ViewerCounts& counts() const { return counts_; }
@@ -98,6 +104,8 @@
     void tell(SubId, const Message&, bool release);
     void release(SubId, int cause);
     void sayWaiting();
+    void sayRelease(Conn&, const std::string& tag, const std::string& line);
+    void tellLater(Micros since, std::string tag, std::string line);
     bool makeRoom(std::size_t limit, bool alsoTooMany);
     void tidy();
 
@@ -114,7 +122,18 @@
     std::uint64_t nextConn_ = 1;
     std::map<SubId, Asking> asking_;
     std::map<std::string, SubId, std::less<>> byTag_;
-    std::deque<std::pair<Micros, std::string>> toTell_;
+    // Releases: that no connection has taken yet; that one has taken a moment ago.
+    struct Untold {
+        Micros since;
+        std::string tag, line;
+    };
+    std::deque<Untold> toTell_;
+    struct Unheard {
+        Micros at;
+        std::uint64_t conn;
+        std::string line;
+    };
+    std::map<std::string, Unheard, std::less<>> unheard_;
     std::vector<std::unique_ptr<Conn>> dead_;
     ViewerCounts counts_;
     std::uint64_t lines_ = 0;
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t kPortion = 32 * 1024;  // read of one connection in one turn
+constexpr Micros kLookAgain = 10'000;
 
 }  // namespace
 
@@ -25,7 +26,7 @@
       usedAt_(net.now()),
       late_(net, [this] { lose(Gone::NoConnect); }),
       more_(net, [this] { readable(); }),
-      unfinished_(net, [this] { lose(Gone::Garbled); }) {}
+      unfinished_(net, [this] { stillUnfinished(); }) {}
 
 // ================= lingering close =================
 
@@ -186,7 +187,10 @@
             return false;
         }
         if (end == std::string_view::npos) {
-            if (in_.empty()) unfinished_.after(limits_.unfinished);
+            if (in_.empty()) {
+                unfinishedLooks_ = 0;
+                unfinished_.after(limits_.unfinished);
+            }
             in_ += bytes;
             return true;
         }
@@ -205,6 +209,14 @@
     return true;
 }
 
+// Its rest may lie unread: a process that had no turn for a while comes to its timers before it reads. So it
+// is read, a turn of the loop passes, and only then is it too late.
+void Wire::stillUnfinished() {
+    if (++unfinishedLooks_ > 1) return lose(Gone::Garbled);
+    unfinished_.after(kLookAgain);
+    readable();
+}
+
 void Wire::lose(Gone how) {
     if (state_ == State::Closed) return;
     // One that has gone, or does not read, is owed nothing more; one that has only finished writing may still
--- a/src/node/wire.hpp
+++ b/src/node/wire.hpp
@@ -90,6 +90,7 @@
     void writable() override;
     void flush();
     void lose(Gone);
+    void stillUnfinished();
     enum class How { Reset, AtOnce, Lingering };
     void shut(How);
     bool takeLines(std::string_view bytes);
@@ -102,6 +103,7 @@
     std::uint64_t said_ = 0, taken_ = 0;
     Micros heardAt_, usedAt_;
     net::Timer late_, more_, unfinished_;
+    int unfinishedLooks_ = 0;
     std::unique_ptr<net::Stream> stream_, failed_;
     Lingering* lingering_ = nullptr;
 };
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 
 #include "node_day.hpp"
 
@@ -149,6 +150,158 @@
     EXPECT_LE(day.nodes[11]->mostStreams(), 256u / 2 + 256 / 3 + 2);
 }
 
+// A process that had no turn for a while comes to its timers before it reads what has come meanwhile.
+TEST(NodeViewers, WhatCameWhileItHadNoTurnIsReadBeforeItsConnectionIsClosed) {
+    VirtualDay day;
+    const auto silent = day.line();
+    const auto half = day.line();
+    const std::string whole = VirtualDay::start(2, "talk", "u").dump() + "\n";
+    half->bytes(whole.substr(0, 100));
+    day.run(1'500'000);
+    day.nodes[11]->standStill();
+    silent->say(VirtualDay::start(1));
+    half->bytes(whole.substr(100));
+    day.run(kSecond);
+    day.nodes[11]->goOn();
+    day.run(500'000);
+    EXPECT_EQ(day.said(1), "+");
+    EXPECT_EQ(day.said(2), "+");
+}
+
+TEST(NodeViewers, ARequestInPiecesIsServedWithWhatStandsBehindIt) {
+    VirtualDay day;
+    std::string all;
+    for (int n = 1; n <= 3; ++n)
+        all += VirtualDay::start(n, "talk", "t" + std::to_string(n)).dump() + "\n" + kTest;
+    for (const char c : all) {
+        day.viewers->bytes(std::string(1, c));
+        day.run(2'000);
+    }
+    day.run(500'000);
+    for (int n = 1; n <= 3; ++n) EXPECT_EQ(day.said(n), "+") << n;
+    EXPECT_EQ(day.said(99), "1 1 1");
+    day.viewers = day.line();
+    day.viewers->bytes(VirtualDay::start(4, "talk", "x").dump() + "\n" +
+                       VirtualDay::start(5, "talk", "y").dump() + "\n");
+    day.run(500'000);
+    EXPECT_EQ(day.said(4), "+");
+    EXPECT_EQ(day.said(5), "+");
+}
+
+// A viewer that has gone is not served: whichever way its connection ended, its set-ups are called off at
+// once.
+TEST(NodeViewers, WhateverEndsAConnectionGivesUpItsSetups) {
+    for (int how = 0; how < 6; ++how) {
+        VirtualDay day(1);
+        day.servers[0]->does = [](const std::string&) { return Does::Nothing; };
+        day.ask(1);
+        day.ask(2, "talk", "u");
+        day.run(200'000);
+        ASSERT_EQ(day.setupsOf(1) + day.setupsOf(2), 2);
+        if (how == 0) day.viewers->close(false);
+        if (how == 1) day.viewers->close(true);
+        if (how == 2) day.viewers->bytes("noise\n");
+        if (how == 3) day.viewers->bytes(std::string(20'000, 'x'));
+        if (how == 4) day.ask(1);  // one id twice
+        if (how == 5)
+            for (int i = 0; i < 4; ++i) day.viewers->say(VirtualDay::start(77, "unheard"));
+        day.run(20'000);
+        EXPECT_EQ(day.servers[0]->cuts, 2) << how;
+        EXPECT_EQ(day.front->remembered(), 0u) << how;
+    }
+    VirtualDay day(1);  // a set-up and the close in one segment: nothing of it is left
+    LateReader both(day.machine(13), day.front->at());
+    both.say(VirtualDay::start(1).dump() + "\n");
+    day.world.step(day.world.now() + kSecond);
+    both.stream.reset();
+    day.run(kSecond);
+    EXPECT_EQ(day.front->remembered(), 0u);
+}
+
+// A release that went out on a connection which was broken already, unseen, is told on another.
+TEST(NodeViewers, AReleaseLostWithItsConnectionIsToldAgain) {
+    VirtualDay day(1);
+    day.ask(1);
+    const auto other = day.line();
+    other->say(VirtualDay::start(2, "talk", "u"));
+    day.run(kSecond);
+    day.servers[0]->end(idOf(1), 16);
+    day.run(250);  // the front says it while the reset is on its way
+    day.viewers->close(true);
+    day.run(500'000);
+    EXPECT_EQ(day.said(1), "+ 16");
+}
+
+// Guards against releases in a burst that look like a viewer who does not read.
+TEST(NodeViewers, ManyReleasesForOneConnectionDoNotCloseIt) {
+    VirtualDay day;
+    const int many = 4000;
+    for (int n = 1; n <= many; ++n) {
+        Json m = VirtualDay::start(n);
+        m["opts"]["extras"] = "home:0;copies:3;top:2;at:s-00000000";
+        day.viewers->say(m);
+        if (n % 200 == 0) day.run(20'000);
+    }
+    day.run(100'000);
+    day.viewers->close(true);
+    day.run(100'000);
+    day.servers[0]->die();
+    day.run(500'000);
+    LateReader late(day.machine(13), day.front->at());
+    std::string all = VirtualDay::start(5000).dump() + "\n";
+    for (int i = 0; i < 5200; ++i) all += kTest;  // what is on its way to it fills its buffer already
+    late.say(all);
+    day.run(500'000);
+    for (int i = 0; i < 300; ++i) {
+        late.readOn();
+        day.run(10'000);
+    }
+    EXPECT_EQ(late.lines(), many + 1 + 5200);
+    EXPECT_FALSE(late.broken);
+}
+
+// Thousands of set-ups, given up, broken off, left, handed over: nothing of them is left in any table.
+TEST(NodeViewers, ChurnLeavesNothingBehind) {
+    VirtualDay day;
+    std::mt19937 chance(11);
+    for (const auto& s : day.servers)
+        s->does = [&](const std::string&) {
+            const auto drawn = chance() % 12;
+            return drawn == 0   ? Does::Full
+                   : drawn == 1 ? Does::Nothing
+                   : drawn == 2 ? Does::Resets
+                   : drawn == 3 ? Does::Noise
+                                : Does::Plays;
+        };
+    std::vector<std::unique_ptr<standins::PlatformLine>> lines(6);
+    for (int n = 1; n <= 4000; ++n) {
+        auto& line = lines[chance() % lines.size()];
+        if (!line || line->ended()) line = day.line();
+        Json m = VirtualDay::start(n, n % 5 ? "talk" : "paid", "t" + std::to_string(n % 50));
+        if (n % 7 == 0) m["opts"]["extras"] = "home:0;copies:3;top:2;at:s-0000000" + std::to_string(n % 3);
+        line->say(m);
+        day.run(2'000);
+        if (n > 100 && chance() % 3) {
+            const int old = n - static_cast<int>(chance() % 100);
+            line->say({{"verb", "FINISH"}, {"tag", idOf(old)}, {"opts", Json::object()}, {"rc", 16}});
+        }
+        if (chance() % 20 == 0) line->close(chance() % 2);
+        if (chance() % 60 == 0 && !line->ended()) line->bytes("noise\n");
+        if (chance() % 90 == 0) day.servers[chance() % 3]->resetAll();
+    }
+    day.run(4 * kSecond);
+    day.viewers = day.line();
+    for (int n = 1; n <= 4000; ++n) day.end(n);
+    day.run(kSecond);
+    for (const auto& line : lines)
+        if (line) line->close(false);
+    day.viewers->close(false);
+    day.run(12 * kSecond);
+    EXPECT_EQ(day.front->remembered(), 0u);
+    EXPECT_EQ(day.front->connections(), 0u);
+    for (const auto& s : day.servers) EXPECT_TRUE(s->standing.empty());
+}
+
 // ================= the end of the process =================
 
 // Asks it to end, and ends it at the very event at which it says that it is done.
