Wire: a connect given up frees its descriptor at once

Seen: Wire::close kept the stream of a connect that came to nothing, with its descriptor, until the wire was buried a turn later; connects that fail together and are tried again in that turn held two descriptors each, beyond the third that media servers have. The stream is still kept, as the failure is told from within it, but closed. Test AConnectGivenUpFreesItsDescriptorAtOnce, seen to fail without (10 held at once, not 1).

--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -232,14 +232,17 @@
 
 void Wire::shut(How how) {
     if (state_ == State::Closed) return;
-    // A connect that failed is told from within the stream: that one dies with this wire.
-    if (state_ == State::Connecting)
+    // A connect that failed is told from within the stream: that one dies with this wire. Its descriptor is
+    // free at once, as the next connect may come before that.
+    if (state_ == State::Connecting) {
         failed_ = std::move(stream_);
-    else if (how == How::Reset)
+        failed_->reset();
+    } else if (how == How::Reset) {
         stream_->reset();
-    else if (how == How::Lingering && lingering_ &&
-             (!out_.empty() || (said_ > 0 && net_.now() - usedAt_ < lingering_->time())))
+    } else if (how == How::Lingering && lingering_ &&
+               (!out_.empty() || (said_ > 0 && net_.now() - usedAt_ < lingering_->time()))) {
         lingering_->take(std::move(stream_), std::move(out_));
+    }
     state_ = State::Closed;
     late_.cancel();
     more_.cancel();
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <random>
 
+#include "node/wire.hpp"
 #include "node_day.hpp"
 
 namespace valekeel {
@@ -302,6 +303,24 @@
     for (const auto& s : day.servers) EXPECT_TRUE(s->standing.empty());
 }
 
+// Guards against connects that fail together and are tried again at once: each held two descriptors then.
+TEST(NodeViewers, AConnectGivenUpFreesItsDescriptorAtOnce) {
+    struct Nobody final : node::WireUser {
+        void line(std::string_view) override {}
+        void gone(node::Gone) override {}
+    } nobody;
+    net::VirtualWorld world{5};
+    net::VirtualNode& here = world.node("here", Virtual::place(0).ip);
+    std::vector<std::unique_ptr<node::Wire>> wires;
+    for (int i = 0; i < 10; ++i) {
+        wires.push_back(std::make_unique<node::Wire>(here, Virtual::place(1), kSecond,
+                                                     node::Wire::Limits{100, 100, kSecond}, nobody));
+        wires.back()->close();
+    }
+    EXPECT_EQ(here.mostStreams(), 1u);
+    world.runUntil(world.now() + kSecond);
+}
+
 // ================= the end of the process =================
 
 // Asks it to end, and ends it at the very event at which it says that it is done.
