The start of a media server told again is no new one, whatever the clocks did meanwhile

Seen: after the wall clock was set back, a whole list that names a media server with the start already known ended all that played there (41 to its viewers), and the module took it for cold again. Cause: node.cpp, take compared the start on the front's own clock, which is worked out anew at each event from both clocks: set the wall clock, or drift by a microsecond, and it is later. Ruled out: events of changes and whole lists alone, with the clocks at rest.

Change: the start as told is kept beside the entry and compared; its moment on our clock is worked out once. TheSameStartToldAgainIsNoNewOne was seen to fail without it.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -157,21 +157,25 @@
         std::set<SfuId> named;
         for (const list::BoxLine& line : event.boxes) {
             ListedSfu entry = line.sfu;
-            entry.launched = onOurClock(line.sfu.launched);
+            const Micros started = line.sfu.launched;
+            const auto it = listed.find(entry.id);
+            const bool held = it != listed.end();
+            // A start that is told again is the same moment. Guards against taking it for a new start by what
+            // the two clocks have drifted apart, or the wall clock was set, in between.
+            entry.launched =
+                held && started == it->second.started ? it->second.entry.launched : onOurClock(started);
             entries.push_back(entry);
             named.insert(entry.id);
             if (entry.standing != Standing::Off) servers.at(entry.id, line.at);
-            auto it = listed.find(entry.id);
-            const bool anew = it != listed.end() && entry.launched > it->second.launched;
-            if (anew) servers.startedAnew(entry.id, entry.launched);
+            if (held && started > it->second.started) servers.startedAnew(entry.id, entry.launched);
             if (entry.standing == Standing::Off)
                 listed.erase(entry.id);
             else
-                listed[entry.id] = entry;
+                listed[entry.id] = {entry, started};
         }
         std::vector<SfuId> off;
         if (event.whole) {
-            for (const auto& [id, entry] : listed)
+            for (const auto& [id, one] : listed)
                 if (!named.count(id)) off.push_back(id);
             for (const SfuId id : off) listed.erase(id);
             core.listed(entries, stale);
@@ -194,7 +198,7 @@
         if (isCurrent) return;
         isCurrent = true;
         std::vector<ListedSfu> all;
-        for (const auto& [id, entry] : listed) all.push_back(entry);
+        for (const auto& [id, one] : listed) all.push_back(one.entry);
         core.listed(all, false);
         say(record::Level::Info, "list current", {{"boxes", all.size()}});
     }
@@ -303,7 +307,11 @@
     Micros longest;
     net::Endpoint changelogAt;
     std::vector<ChangeEvent> known;
-    std::map<SfuId, ListedSfu> listed;
+    struct Listed {
+        ListedSfu entry;     // its start on our clock
+        Micros started = 0;  // ... and as told, since 1970
+    };
+    std::map<SfuId, Listed> listed;
     bool isCurrent = false;
     std::uint64_t chosen = 0, fits = 0;
     double holders = 0;
--- a/src/standins/platform.cpp
+++ b/src/standins/platform.cpp
@@ -197,9 +197,9 @@
     beat_.after(kSecond);
     if (following_ && !silent) bytes(frame(last, 0, {}));
 }
-void PlatformLog::add(const std::vector<Box>& boxes) {
+void PlatformLog::add(const std::vector<Box>& boxes, bool whole) {
     ++last;
-    events_[last] = frame(last, 2, boxes);
+    events_[last] = frame(last, whole ? 1 : 2, boxes);
     if (!following_ || silent) return;
     bytes(events_[last]);
     if (twice) bytes(events_[last]);
--- a/src/standins/platform.hpp
+++ b/src/standins/platform.hpp
@@ -83,7 +83,7 @@
         int state = 0, cell = 0;
         std::uint64_t startedMs = 0;
     };
-    void add(const std::vector<Box>&);  // the next event, of changes; told at once
+    void add(const std::vector<Box>&, bool whole = false);  // the next event, of changes; told at once
     static std::string frame(std::uint64_t number, int kind, const std::vector<Box>&);
     void bytes(const std::string&);  // as they are, on the connection that stands
     void breakOff();
--- a/tests/changelog_test.cpp
+++ b/tests/changelog_test.cpp
@@ -10,14 +10,19 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
 
 #include "loop.hpp"
 #include "net/virtual.hpp"
+#include "node/node.hpp"
 #include "standins/platform.hpp"
 
 namespace valekeel {
 namespace {
 
+using Json = nlohmann::json;
 using standins::PlatformLog;
 
 constexpr Micros kAfterBreak = 2 * kSecond, kAfterSilence = 4 * kSecond, kAfterReload = 4 * kSecond;
@@ -512,5 +517,204 @@
     EXPECT_TRUE(loop.until([&] { return user.numbers.size() == 2; }, kAfterBreak));
 }
 
+// ================= the front node around it =================
+
+// A front node with two media servers and its change log; what was said to its viewers, by subscription.
+struct NodeListDay : testing::Test {
+    net::VirtualWorld world{5};
+    std::map<int, net::VirtualNode*> nodes;
+    net::VirtualNode& machine(int n) {
+        auto& node = nodes[n];
+        if (!node) node = &world.node("m" + std::to_string(n), place(n).ip);
+        return *node;
+    }
+    std::vector<std::unique_ptr<standins::PlatformServer>> servers;
+    std::unique_ptr<PlatformLog> log;
+    std::string logFile = testing::TempDir() + "changelog_test." + std::to_string(::getpid()) + ".log";
+    record::Log record{logFile, record::Level::Info, 1};
+    std::unique_ptr<node::Node> front;
+    std::unique_ptr<standins::PlatformLine> viewers;
+    std::map<std::string, std::string> said;
+
+    NodeListDay() {
+        for (int i = 0; i < 2; ++i)
+            servers.push_back(std::make_unique<standins::PlatformServer>(machine(i), place(i)));
+        log = std::make_unique<PlatformLog>(machine(10), place(10));
+        log->last = 1;
+    }
+    ~NodeListDay() override { std::remove(logFile.c_str()); }
+    void come() {
+        front = std::make_unique<node::Node>(machine(11), "config.json", configuration().dump(), record);
+        connect();
+        run(50'000);
+    }
+    void connect() {
+        viewers = std::make_unique<standins::PlatformLine>(
+            machine(12), front->at(), [this](standins::PlatformLine&, const Json& m) {
+                std::string& all = said[m.value("tag", "")];
+                all += (all.empty() ? "" : " ") +
+                       (m["verb"] == "STARTED" ? std::string("+") : std::to_string(m.value("rc", 0)));
+            });
+    }
+    std::uint64_t wallMs() { return static_cast<std::uint64_t>(machine(11).wallNow() / 1000); }
+    Json configuration() {
+        Json boxes = Json::array();
+        for (std::size_t i = 0; i < servers.size(); ++i)
+            boxes.push_back({{"instanceId", "s-0000000" + std::to_string(i)},
+                             {"hostPort", net::text(servers[i]->at())},
+                             {"zone", "z"},
+                             {"machineType", "k"},
+                             {"cell", i},
+                             {"lifecycle", "active"},
+                             {"weight", 1},
+                             {"startedAtMs", 0}});
+        return {
+            {"name", "n0"},
+            {"listen", net::text(place(11))},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
+            {"changelog", net::text(log->at())},
+            {"known",
+             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
+            {"settings", Json::parse(R"({"balancers":2,"host_types":["k"],"zones":["z"],"zone":"z",
+      "weights":"nominal","allowed":{"attempts_cap":3,"max_retry_after":0.5,"retry_after":true,
+        "max_streams":32,"connect_timeout":0.25,"conn_idle":30},
+      "request_classes":[{"name":"talk","promise":1.5,"deadline":3,"idempotency":"pure","importance":1}],
+      "rules":{"cold":10.0,"start_capacity":0.4,"fall_multiple":2.0,"tip_after":1.5,"spare_attempts":5,
+        "resend_ratio":0.1,"look_back":10},
+      "specifics":{"cells":3,"racks":1,"ladder_kb":[100,300,900],"ladder_worth":[0.3,0.7,1],
+        "rate_factor":[1],"lowest_rung":[0],"highest_rung":[2],"licence_cap":[0],"links_kb":60000,
+        "rack_link_kb":60000,"places_by_kind":[200],"weight_kb":20000,"stall":8,"switch_cost_s":0.5,
+        "told_late":1,"told_every":2}})")}};
+    }
+    static std::string tagOf(int n) {
+        char text[17];
+        std::snprintf(text, sizeof text, "%016x", n);
+        return text;
+    }
+    void ask(int n) {
+        viewers->say({{"verb", "START"},
+                      {"tag", tagOf(n)},
+                      {"opts",
+                       {{"class", "talk"},
+                        {"left", "3000"},
+                        {"key", "t" + std::to_string(n)},
+                        {"extras", "home:0;copies:3;top:2"}}},
+                      {"blob", "offer"}});
+    }
+    // Until each of so many plays, from `from` on.
+    void play(int from, int count) {
+        if (viewers->ended()) connect();  // closed for idleness
+        for (int n = from; n < from + count; ++n) ask(n);
+        run(kSecond);
+        for (int n = from; n < from + count; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+    }
+    int standing(int n) const {
+        for (std::size_t i = 0; i < servers.size(); ++i)
+            if (servers[i]->standing.count(tagOf(n))) return static_cast<int>(i);
+        return -1;
+    }
+    void run(Micros time) { world.runUntil(world.now() + time); }
+    std::string logged() {
+        record.flush();
+        std::ifstream in(logFile);
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+};
+// A whole list in mid-course: who is missing in it is gone, with what it played.
+TEST_F(NodeListDay, AWholeListInMidCourseLeavesOutWhoIsGone) {
+    come();
+    play(1, 12);
+    ASSERT_FALSE(servers[0]->standing.empty());
+    log->add({{1, servers[1]->at(), 0, 1}}, true);
+    run(500'000);
+    const std::size_t before = servers[0]->setups.size();
+    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[tagOf(n)], standing(n) == 1 ? "+" : "+ 41") << n;
+    play(20, 10);
+    EXPECT_EQ(servers[0]->setups.size(), before);
+}
+
+// One that a later whole list gives a new start is new: what stood there before is over, the rest goes on.
+TEST_F(NodeListDay, AWholeListInMidCourseTellsOfNewStarts) {
+    come();
+    play(1, 12);
+    log->add({{0, servers[0]->at(), 0, 0}, {1, servers[1]->at(), 0, 1, wallMs()}}, true);
+    run(500'000);
+    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[tagOf(n)], standing(n) == 0 ? "+" : "+ 41") << n;
+}
+
+// The start of a media server is told in Unix time. Told again it is no new start, though the wall clock was
+// set back meanwhile and another moment of the front's own clock comes out.
+TEST_F(NodeListDay, TheSameStartToldAgainIsNoNewOne) {
+    come();
+    const std::uint64_t started = wallMs();
+    log->add({{1, servers[1]->at(), 0, 1, started}});
+    run(12 * kSecond);  // warm
+    play(1, 12);
+    ASSERT_FALSE(servers[1]->standing.empty());
+    machine(11).wallSkew -= 20 * kSecond;
+    log->add({{0, servers[0]->at(), 0, 0}, {1, servers[1]->at(), 0, 1, started}}, true);
+    log->add({{1, servers[1]->at(), 0, 1, started}});
+    run(kSecond);
+    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+}
+
+// A whole list with a number that is over says nothing new, whatever it holds.
+TEST_F(NodeListDay, AnOldWholeListTakesNothingBack) {
+    come();
+    play(1, 6);
+    log->add({{0, servers[0]->at(), 1, 0}});
+    run(200'000);
+    const std::size_t before = servers[0]->setups.size();
+    for (const std::uint64_t number : {0u, 1u, 2u})
+        log->bytes(PlatformLog::frame(number, 1, {{0, servers[0]->at(), 0, 0}}));
+    play(20, 10);
+    EXPECT_EQ(servers[0]->setups.size(), before);
+    for (int n = 1; n <= 6; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+}
+
+// The front comes up while the change log is away, with an old list: it serves at once, and knows of the
+// drain as soon as the change log is there.
+TEST_F(NodeListDay, ComesUpOnAnOldListWhileTheChangeLogIsAway) {
+    const Json configured = configuration();
+    log.reset();
+    front = std::make_unique<node::Node>(machine(11), "config.json", configured.dump(), record);
+    connect();
+    viewers->say({{"verb", "ECHO"}, {"tag", tagOf(99)}, {"opts", Json::object()}, {"rc", 0}});
+    run(50'000);
+    EXPECT_EQ(said[tagOf(99)], "1");  // passed: ready, though nobody has told it anything
+    play(1, 4);
+    EXPECT_NE(logged().find("change log lost"), std::string::npos);
+    run(7 * kSecond);
+    log = std::make_unique<PlatformLog>(machine(10), place(10));
+    log->last = 1;
+    log->add({{0, servers[0]->at(), 1, 0}});
+    run(kAfterBreak / 2);
+    const std::size_t before = servers[0]->setups.size();
+    play(20, 10);
+    EXPECT_EQ(servers[0]->setups.size(), before);
+}
+
+// Reloads while a drain is told, and after SIGTERM: requests still come then, and none may go to who drains.
+TEST_F(NodeListDay, ADrainToldWhereAReloadLeadsCountsAlsoDuringThePlannedEnd) {
+    come();
+    PlatformLog other(machine(13), place(13));
+    other.last = 1;
+    bool over = false;
+    front->stop([&] { over = true; });
+    Json all = configuration();
+    all["changelog"] = net::text(other.at());
+    front->reread(all.dump());
+    other.add({{0, servers[0]->at(), 1, 0}});
+    run(300'000);
+    for (int n = 1; n <= 10; ++n) ask(n);
+    run(kSecond);
+    EXPECT_FALSE(over);
+    for (int n = 1; n <= 10; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+    EXPECT_TRUE(servers[0]->setups.empty());
+    run(4 * kSecond);
+    EXPECT_TRUE(over);
+}
+
 }  // namespace
 }  // namespace valekeel
