A configuration that names port 0 for the change log is passed over

Seen: SIGHUP with 10.0.0.1:0 was taken, and the connection that stood was given up for an address where nobody can be. Cause: endpointOf takes port 0, which is right for `listen` in tests only. Ruled out: an empty, half written or doubled file, an array, no `changelog`, a number, no address: each was passed over and said with file, place and what is expected. AWrongConfigurationIsPassedOverAndSaysWhy was seen to fail without it.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,6 +27,14 @@
     setup::bad(where, std::string("'") + key + "' is '" + told + "', and should be an address and a port");
 }
 
+// Where it is to connect to; nobody can be at port 0.
+net::Endpoint changeLogOf(const Json& all, const std::string& file) {
+    const net::Endpoint at = endpoint(all, "changelog", file);
+    if (at.port == 0)
+        setup::bad(file, "'changelog' is '" + net::text(at) + "', and should be an address and a port");
+    return at;
+}
+
 // A part of the configuration; where it is missing, the nearest name that is there.
 const Json& partOf(const Json& all, const char* key, const std::string& file) {
     if (all.contains(key)) return setup::part(all, key, file);
@@ -120,7 +128,7 @@
           names(setup::namesOf(settings, where)),
           listNames(names.kinds, names.zones),
           longest(std::max(kLeastPlayOn, longestTimeout(settings, where))),
-          changelogAt(endpoint(all, "changelog", file)),
+          changelogAt(changeLogOf(all, file)),
           known(knownEvents(partOf(all, "known", file), listNames)),
           viewers(net, endpoint(all, "listen", file), viewerLimits(settings, descriptors(all, file), where),
                   askedOf(settings, where)),
@@ -336,7 +344,7 @@
 void Node::reread(const std::string& text) {
     try {
         const Json all = readConfiguration(parts_->file, text);
-        const net::Endpoint to = endpoint(all, "changelog", parts_->file);
+        const net::Endpoint to = changeLogOf(all, parts_->file);
         parts_->say(record::Level::Info, "configuration replaced", {{"changelog", net::text(to)}});
         parts_->log_.moveTo(to);
     } catch (const setup::Bad& wrong) {
--- a/tests/changelog_test.cpp
+++ b/tests/changelog_test.cpp
@@ -695,6 +695,36 @@
     EXPECT_EQ(servers[0]->setups.size(), before);
 }
 
+// What replaces the configuration may be wrong in any way: it is said, and the change log held stays.
+TEST_F(NodeListDay, AWrongConfigurationIsPassedOverAndSaysWhy) {
+    come();
+    const std::string whole = configuration().dump(2);
+    Json missing = configuration(), number = missing, nowhere = missing, noPort = missing;
+    missing.erase("changelog");
+    number["changelog"] = 7;
+    nowhere["changelog"] = "nowhere";
+    noPort["changelog"] = "10.0.0.1:0";
+    for (const auto& [text, why] : std::vector<std::pair<std::string, std::string>>{
+             {"", "config.json:1:1: no valid JSON here"},
+             {whole.substr(0, whole.size() / 2), "no valid JSON here"},
+             {whole + "}", "no valid JSON here"},
+             {"[]", "config.json: an object is expected"},
+             {missing.dump(), "config.json: 'changelog' is missing"},
+             {number.dump(), "config.json: 'changelog' is no text"},
+             {nowhere.dump(), "config.json: 'changelog' is 'nowhere', and should be an address and a port"},
+             {noPort.dump(),
+              "config.json: 'changelog' is '10.0.0.1:0', and should be an address and a port"}}) {
+        front->reread(text);
+        run(1'100'000);  // one a second is written
+        EXPECT_NE(logged().find(why), std::string::npos) << why;
+    }
+    EXPECT_EQ(log->asked.size(), 1u);
+    log->add({{0, servers[0]->at(), 1, 0}});
+    run(200'000);
+    play(1, 10);
+    EXPECT_TRUE(servers[0]->setups.empty());
+}
+
 // Reloads while a drain is told, and after SIGTERM: requests still come then, and none may go to who drains.
 TEST_F(NodeListDay, ADrainToldWhereAReloadLeadsCountsAlsoDuringThePlannedEnd) {
     come();
