--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -46,6 +46,14 @@
     setup::bad(where, std::string("'") + key + "' is '" + told + "', and should be an address and a port");
 }
 
+// Where it is to connect to; nobody can be at port 0.
+net::Endpoint changeLogOf(const Json& all, const std::string& file) {
+    const net::Endpoint at = endpoint(all, "changelog", file);
+    if (at.port == 0)
+        setup::bad(file, "'changelog' is '" + net::text(at) + "', and should be an address and a port");
+    return at;
+}
+
 // A part of the configuration; where it is missing, the nearest name that is there.
 const Json& partOf(const Json& all, const char* key, const std::string& file) {
     if (all.contains(key)) return setup::part(all, key, file);
@@ -139,7 +147,7 @@
           names(setup::namesOf(settings, where)),
           listNames(names.kinds, names.zones),
           killed(std::min(kMostCounted, longestTimeout(settings, where)) + kStopComing),
-          changelogAt(endpoint(all, "changelog", file)),
+          changelogAt(changeLogOf(all, file)),
           known(knownEvents(partOf(all, "known", file), listNames)),
           viewers(net, endpoint(all, "listen", file), viewerLimits(settings, descriptors(all, file), where),
                   askedOf(settings, where)),
@@ -177,21 +185,25 @@
         std::set<SfuId> named;
         for (const list::BoxLine& line : event.boxes) {
             ListedSfu entry = line.sfu;
-            entry.launched = onOurClock(line.sfu.launched);
+            const Micros started = line.sfu.launched;
+            const auto it = listed.find(entry.id);
+            const bool held = it != listed.end();
+            // A start that is told again is the same moment. Guards against taking it for a new start by what
+            // the two clocks have drifted apart, or the wall clock was set, in between.
+            entry.launched =
+                held && started == it->second.started ? it->second.entry.launched : onOurClock(started);
             entries.push_back(entry);
             named.insert(entry.id);
             if (entry.standing != Standing::Off && !servers.knows(entry.id)) servers.at(entry.id, line.at);
-            const auto it = listed.find(entry.id);
-            if (it != listed.end() && entry.launched > it->second.launched)
-                anew.emplace_back(entry.id, entry.launched);
+            if (held && started > it->second.started) anew.emplace_back(entry.id, entry.launched);
             if (entry.standing == Standing::Off)
                 listed.erase(entry.id);
             else
-                listed[entry.id] = entry;
+                listed[entry.id] = {entry, started};
         }
         std::vector<SfuId> off;
         if (event.whole) {
-            for (const auto& [id, entry] : listed)
+            for (const auto& [id, one] : listed)
                 if (!named.count(id)) off.push_back(id);
             for (const SfuId id : off) listed.erase(id);
             core.listed(entries, stale);
@@ -221,7 +233,7 @@
         if (isCurrent) return;
         isCurrent = true;
         std::vector<ListedSfu> all;
-        for (const auto& [id, entry] : listed) all.push_back(entry);
+        for (const auto& [id, one] : listed) all.push_back(one.entry);
         core.listed(all, false);
         say(record::Level::Info, "list current", {{"boxes", all.size()}});
     }
@@ -341,7 +353,11 @@
     Micros killed;  // no sooner, after SIGTERM
     net::Endpoint changelogAt;
     std::vector<ChangeEvent> known;
-    std::map<SfuId, ListedSfu> listed;
+    struct Listed {
+        ListedSfu entry;     // its start on our clock
+        Micros started = 0;  // ... and as told, since 1970
+    };
+    std::map<SfuId, Listed> listed;
     bool isCurrent = false;
     std::uint64_t chosen = 0, fits = 0;
     double holders = 0;
@@ -377,7 +393,7 @@
 void Node::reread(const std::string& text) {
     try {
         const Json all = readConfiguration(parts_->file, text);
-        const net::Endpoint to = endpoint(all, "changelog", parts_->file);
+        const net::Endpoint to = changeLogOf(all, parts_->file);
         parts_->say(record::Level::Info, "configuration replaced", {{"changelog", net::text(to)}});
         parts_->log_.moveTo(to);
     } catch (const setup::Bad& wrong) {
