--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -220,6 +220,10 @@
 // ================= from the list =================
 
 void Core::listed(std::span<const ListedSfu> all, bool stale) {
+    std::erase_if(figuresAt_, [&](const auto& told) {  // gone without a word of it
+        return std::none_of(all.begin(), all.end(),
+                            [&](const ListedSfu& one) { return one.id == told.first; });
+    });
     tell([&] { decides_->listed(net_.now(), all, stale); });
 }
 void Core::listChanged(std::span<const ListedSfu> some) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -196,6 +196,22 @@
     EXPECT_EQ(rig.core->held(), 0u);
 }
 
+// What is kept of a media server goes with it, also where only a whole list shows that it is gone.
+TEST(Core, FiguresOfAServerThatAWholeListLeavesOutAreForgotten) {
+    Rig rig;
+    const SubId id = rig.ask();
+    ListedSfu seven;
+    seven.id = SfuId{7};
+    rig.core->listed(std::span(&seven, 1), false);
+    rig.core->figures(id, seven.id, 0.5, {});
+    rig.core->figures(id, seven.id, 0.5, {});  // no more often than each second
+    EXPECT_EQ(rig.count(rig.decides->heard, "link"), 1);
+    rig.core->listed({}, false);
+    rig.core->listed(std::span(&seven, 1), false);
+    rig.core->figures(id, seven.id, 0.5, {});
+    EXPECT_EQ(rig.count(rig.decides->heard, "link"), 2);
+}
+
 TEST(Core, AFaceThatHangsUpWithinItsAnswerIsNoTrouble) {
     Rig rig;
     rig.hangUpAtOnce = true;
