--- a/tests/changelog_test.cpp
+++ b/tests/changelog_test.cpp
@@ -17,6 +17,7 @@
 #include "loop.hpp"
 #include "net/virtual.hpp"
 #include "node/node.hpp"
+#include "node_day.hpp"
 #include "standins/platform.hpp"
 
 namespace valekeel {
@@ -565,25 +566,11 @@
     }
     std::uint64_t wallMs() { return static_cast<std::uint64_t>(machine(11).wallNow() / 1000); }
     Json configuration() {
-        Json boxes = Json::array();
-        for (std::size_t i = 0; i < servers.size(); ++i)
-            boxes.push_back({{"instanceId", "s-0000000" + std::to_string(i)},
-                             {"hostPort", net::text(servers[i]->at())},
-                             {"zone", "z"},
-                             {"machineType", "k"},
-                             {"cell", i},
-                             {"lifecycle", "active"},
-                             {"weight", 1},
-                             {"startedAtMs", 0}});
-        return {
-            {"name", "n0"},
-            {"listen", net::text(place(11))},
-            {"seed", "8c1f30d27a5be964"},
-            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
-            {"changelog", net::text(log->at())},
-            {"known",
-             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
-            {"settings", Json::parse(R"({"balancers":2,"host_types":["k"],"zones":["z"],"zone":"z",
+        std::vector<net::Endpoint> places;
+        for (const auto& server : servers) places.push_back(server->at());
+        return nodeday::configurationOf(
+            places, place(11), log->at(),
+            Json::parse(R"({"balancers":2,"host_types":["k"],"zones":["z"],"zone":"z",
       "weights":"nominal","allowed":{"attempts_cap":3,"max_retry_after":0.5,"retry_after":true,
         "max_streams":32,"connect_timeout":0.25,"conn_idle":30},
       "request_classes":[{"name":"talk","promise":1.5,"deadline":3,"idempotency":"pure","importance":1}],
@@ -592,16 +579,11 @@
       "specifics":{"cells":3,"racks":1,"ladder_kb":[100,300,900],"ladder_worth":[0.3,0.7,1],
         "rate_factor":[1],"lowest_rung":[0],"highest_rung":[2],"licence_cap":[0],"links_kb":60000,
         "rack_link_kb":60000,"places_by_kind":[200],"weight_kb":20000,"stall":8,"switch_cost_s":0.5,
-        "told_late":1,"told_every":2}})")}};
-    }
-    static std::string tagOf(int n) {
-        char text[17];
-        std::snprintf(text, sizeof text, "%016x", n);
-        return text;
+        "told_late":1,"told_every":2}})"));
     }
     void ask(int n) {
         viewers->say({{"verb", "START"},
-                      {"tag", tagOf(n)},
+                      {"tag", nodeday::idOf(n)},
                       {"opts",
                        {{"class", "talk"},
                         {"left", "3000"},
@@ -614,11 +596,11 @@
         if (viewers->ended()) connect();  // closed for idleness
         for (int n = from; n < from + count; ++n) ask(n);
         run(kSecond);
-        for (int n = from; n < from + count; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+        for (int n = from; n < from + count; ++n) EXPECT_EQ(said[nodeday::idOf(n)], "+") << n;
     }
     int standing(int n) const {
         for (std::size_t i = 0; i < servers.size(); ++i)
-            if (servers[i]->standing.count(tagOf(n))) return static_cast<int>(i);
+            if (servers[i]->standing.count(nodeday::idOf(n))) return static_cast<int>(i);
         return -1;
     }
     void run(Micros time) { world.runUntil(world.now() + time); }
@@ -636,7 +618,7 @@
     log->add({{1, servers[1]->at(), 0, 1}}, true);
     run(500'000);
     const std::size_t before = servers[0]->setups.size();
-    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[tagOf(n)], standing(n) == 1 ? "+" : "+ 41") << n;
+    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[nodeday::idOf(n)], standing(n) == 1 ? "+" : "+ 41") << n;
     play(20, 10);
     EXPECT_EQ(servers[0]->setups.size(), before);
 }
@@ -647,7 +629,7 @@
     play(1, 12);
     log->add({{0, servers[0]->at(), 0, 0}, {1, servers[1]->at(), 0, 1, wallMs()}}, true);
     run(500'000);
-    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[tagOf(n)], standing(n) == 0 ? "+" : "+ 41") << n;
+    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[nodeday::idOf(n)], standing(n) == 0 ? "+" : "+ 41") << n;
 }
 
 // The start of a media server is told in Unix time. Told again it is no new start, though the wall clock was
@@ -663,7 +645,7 @@
     log->add({{0, servers[0]->at(), 0, 0}, {1, servers[1]->at(), 0, 1, started}}, true);
     log->add({{1, servers[1]->at(), 0, 1, started}});
     run(kSecond);
-    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+    for (int n = 1; n <= 12; ++n) EXPECT_EQ(said[nodeday::idOf(n)], "+") << n;
 }
 
 // A whole list with a number that is over says nothing new, whatever it holds.
@@ -677,7 +659,7 @@
         log->bytes(PlatformLog::frame(number, 1, {{0, servers[0]->at(), 0, 0}}));
     play(20, 10);
     EXPECT_EQ(servers[0]->setups.size(), before);
-    for (int n = 1; n <= 6; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+    for (int n = 1; n <= 6; ++n) EXPECT_EQ(said[nodeday::idOf(n)], "+") << n;
 }
 
 // The front comes up while the change log is away, with an old list: it serves at once, and knows of the
@@ -687,9 +669,9 @@
     log.reset();
     front = std::make_unique<node::Node>(machine(11), "config.json", configured.dump(), record);
     connect();
-    viewers->say({{"verb", "ECHO"}, {"tag", tagOf(99)}, {"opts", Json::object()}, {"rc", 0}});
+    viewers->say({{"verb", "ECHO"}, {"tag", nodeday::idOf(99)}, {"opts", Json::object()}, {"rc", 0}});
     run(50'000);
-    EXPECT_EQ(said[tagOf(99)], "1");  // passed: ready, though nobody has told it anything
+    EXPECT_EQ(said[nodeday::idOf(99)], "1");  // passed: ready, though nobody has told it anything
     play(1, 4);
     EXPECT_NE(logged().find("change log lost"), std::string::npos);
     run(7 * kSecond);
@@ -747,7 +729,7 @@
     for (int n = 1; n <= 10; ++n) ask(n);
     run(kSecond);
     EXPECT_FALSE(over);
-    for (int n = 1; n <= 10; ++n) EXPECT_EQ(said[tagOf(n)], "+") << n;
+    for (int n = 1; n <= 10; ++n) EXPECT_EQ(said[nodeday::idOf(n)], "+") << n;
     EXPECT_TRUE(servers[0]->setups.empty());
     run(4 * kSecond);
     EXPECT_TRUE(over);
--- a/tests/deployments_test.cpp
+++ b/tests/deployments_test.cpp
@@ -8,6 +8,7 @@
 #include "node/message.hpp"
 #include "node/node.hpp"
 #include "node/servers.hpp"
+#include "node_day.hpp"
 #include "setup/setup.hpp"
 #include "standins/platform.hpp"
 
@@ -59,11 +60,7 @@
     return all;
 }
 
-std::string idOf(int n) {
-    char text[17];
-    std::snprintf(text, sizeof text, "%016x", n);
-    return text;
-}
+using nodeday::idOf;
 
 struct Day {
     Json settings;
@@ -99,27 +96,9 @@
     }
     void run(Micros time) { world.runUntil(world.now() + time); }
     std::string configuration(int count) const {
-        Json boxes = Json::array();
-        for (int i = 0; i < count; ++i)
-            boxes.push_back(
-                {{"instanceId", "s-0000000" + std::to_string(i)},
-                 {"hostPort", net::text(place(i))},
-                 {"zone", settings["zones"][static_cast<std::size_t>(i) % settings["zones"].size()]},
-                 {"machineType", settings["host_types"].back()},
-                 {"cell", i},
-                 {"lifecycle", "active"},
-                 {"weight", 1},
-                 {"startedAtMs", 0}});
-        return Json{
-            {"name", "n0"},
-            {"listen", net::text(place(11))},
-            {"seed", "8c1f30d27a5be964"},
-            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
-            {"changelog", net::text(log->at())},
-            {"known",
-             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
-            {"settings", settings}}
-            .dump();
+        std::vector<net::Endpoint> places;
+        for (int i = 0; i < count; ++i) places.push_back(place(i));
+        return nodeday::configurationOf(places, place(11), log->at(), settings).dump();
     }
     void ask(int n, std::size_t room = 0, int left = 0) {
         const Json& told = settings["request_classes"][room];
--- a/tests/node_day.hpp
+++ b/tests/node_day.hpp
@@ -40,6 +40,29 @@
     return text;
 }
 
+// What the platform tells a front node: media servers at these places, a cell and a zone after the other.
+inline Json configurationOf(const std::vector<net::Endpoint>& servers, const net::Endpoint& listen,
+                            const net::Endpoint& log, const Json& settings) {
+    Json boxes = Json::array();
+    for (std::size_t i = 0; i < servers.size(); ++i)
+        boxes.push_back({{"instanceId", "s-0000000" + std::to_string(i)},
+                         {"hostPort", net::text(servers[i])},
+                         {"zone", settings["zones"][i % settings["zones"].size()]},
+                         {"machineType", settings["host_types"].back()},
+                         {"cell", i},
+                         {"lifecycle", "active"},
+                         {"weight", 1},
+                         {"startedAtMs", 0}});
+    return {{"name", "n0"},
+            {"listen", net::text(listen)},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
+            {"changelog", net::text(log)},
+            {"known",
+             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
+            {"settings", settings}};
+}
+
 template <class Machines>
 struct Day : Machines {
     std::vector<std::unique_ptr<standins::PlatformServer>> servers;
@@ -59,26 +82,9 @@
         this->run(50'000);
     }
     std::string configuration() {
-        Json boxes = Json::array();
-        for (std::size_t i = 0; i < servers.size(); ++i)
-            boxes.push_back({{"instanceId", "s-0000000" + std::to_string(i)},
-                             {"hostPort", net::text(servers[i]->at())},
-                             {"zone", "z"},
-                             {"machineType", "k"},
-                             {"cell", i},
-                             {"lifecycle", "active"},
-                             {"weight", 1},
-                             {"startedAtMs", 0}});
-        return Json{
-            {"name", "n0"},
-            {"listen", net::text(this->place(11))},
-            {"seed", "8c1f30d27a5be964"},
-            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
-            {"changelog", net::text(log->at())},
-            {"known",
-             {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"reset", true}, {"instances", boxes}}}}}}}},
-            {"settings", settings()}}
-            .dump();
+        std::vector<net::Endpoint> places;
+        for (const auto& server : servers) places.push_back(server->at());
+        return configurationOf(places, this->place(11), log->at(), settings()).dump();
     }
     std::unique_ptr<standins::PlatformLine> line() {
         return std::make_unique<standins::PlatformLine>(
