A set-up called off while its connection goes ends once; three small repeats gone

Found reading the whole change again. giveUp (servers.cpp), since ends are owed, used the media server of a connection that may just have gone, where one set-up's end has another called off in the same call: a null dereference. No face of today does that; test NodeServers.OneMayBeCalledOffWhileItsConnectionGoes crashes without the line. linkGone ends such a set-up itself, a moment later.

Without change of behaviour: what being heard of resets stands once (livesAt); all connections are named by no time instead of the largest one; the time of sending is gone, as ends are measured from the asking like all others; a dead clear; the schedule of the end reads as written; a test file's own virtual machines are those of node_day.hpp.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,17 +23,14 @@
 // requests for 0.2 s more; SIGKILL comes no sooner than the longest client timeout, counted as 3 s where it
 // is longer, and 0.7 s after SIGTERM. From that, counted from when SIGTERM was heard here:
 //   0 to 0.7 s     all is taken as before. What has come by then is not lost if SIGKILL finds it open.
-//   from 0.7 s     the end comes as soon as nothing is open, plays or waits to be told, and nothing has come
-//   in
-//                  some turns of the loop: what lay unread has been read by then.
+//   from 0.7 s     the end comes once nothing is open, plays or waits to be told, and some turns of the loop
+//                  brought nothing: what lay unread has been read by then.
 //   kill - 0.4 s   what plays is released, here and at its media server, which has 0.25 s to confirm; what
 //                  begins to play later is released at once; what still asks is refused.
-//   kill - 0.15 s  what is still open is answered as failed. Those that came last and wait longest have had
-//   all
-//                  but 0.05 s of their time. Then all connections are closed, by half-closes.
+//   kill - 0.15 s  what is still open is answered as failed: those that came last and wait longest have had
+//                  all but 0.05 s of their time. Then all connections are closed, by half-closes.
 //   kill - 0.05 s  the end, also where somebody has not closed his side.
-// The margins are for a slice of a core, on which a few milliseconds of work are ten times as many of the
-// clock.
+// The margins are for a slice of a core, where some milliseconds of work are ten times as many of the clock.
 constexpr Micros kStopComing = 700'000;
 constexpr Micros kMostCounted = 3 * kSecond;
 constexpr Micros kReleaseBefore = 400'000, kAnswerBefore = 150'000, kEndBefore = 50'000;
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -1,7 +1,6 @@
 #include "node/servers.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace valekeel::node {
 namespace {
@@ -105,6 +104,11 @@
     Micros heardAt = 0, lookAt = 0;
     Micros lookedSince = 0;  // the first look since it was last heard; 0: none
     int refusals = 0;
+    void livesAt(Micros now) {
+        heardAt = now;
+        lookedSince = 0;
+        refusals = 0;
+    }
     // What is to be ended there: given up on, or left. Not said yet, or said and not heard of yet.
     struct Owed {
         std::string tag;
@@ -127,16 +131,15 @@
     bool sent = false;       // handed to the kernel; until then it waits on its link
     std::uint64_t from = 0;  // where it begins on it
     int rung = 0;
-    Micros askedAt = 0, sentAt = 0, until = 0;
+    Micros askedAt = 0, until = 0;
     std::unique_ptr<net::Timer> late;
     std::vector<Message> early;  // notes that came before the answer
 };
 
 void Servers::Link::opened() {
     ++all.counts_.connects;
-    openedAt = server->heardAt = all.net_.now();
-    server->refusals = 0;
-    server->lookedSince = 0;
+    openedAt = all.net_.now();
+    server->livesAt(openedAt);
     server->payPause = 0;
     all.pay(*server);  // before anything new: an end may be of the same id
     all.sendWaiting(*this);
@@ -188,7 +191,7 @@
     if (server->at == to) return;
     server->at = to;
     // What is connected to the old place may be anybody's by now.
-    closeLinks(*server, std::numeric_limits<Micros>::max());
+    closeLinks(*server, std::nullopt);
 }
 
 void Servers::off(SfuId id) {
@@ -198,7 +201,7 @@
     servers_.erase(it);
     server->owed.clear();
     takeBackAll(*server, "its media server is off");
-    closeLinks(*server, std::numeric_limits<Micros>::max());
+    closeLinks(*server, std::nullopt);
     allOver(*server, net_.now() + 1);
 }
 
@@ -217,12 +220,11 @@
     allOver(*server, launched);
 }
 
-// Those that have been up since before that time; those still connecting as well, where it is all of them.
-void Servers::closeLinks(Server& server, Micros before) {
+// Those that have been up since before that time; where none is given, all, also those still connecting.
+void Servers::closeLinks(Server& server, std::optional<Micros> before) {
     std::vector<Link*> old;
     for (const auto& link : server.links)
-        if (before == std::numeric_limits<Micros>::max() || (link->wire.isOpen() && link->openedAt < before))
-            old.push_back(link.get());
+        if (!before || (link->wire.isOpen() && link->openedAt < *before)) old.push_back(link.get());
     for (Link* link : old) closeLink(*link);
 }
 
@@ -273,7 +275,6 @@
     gone->server = nullptr;
     --openLinks_;
     const std::set<SubId> out = std::move(gone->out);
-    gone->waiting.clear();
     const std::uint64_t taken = gone->wire.taken();
     bool again = false;
     for (Server::Owed& one : server.owed)
@@ -390,7 +391,6 @@
         setup.opts["rung"] = std::to_string(held.rung);
         setup.description = words->description;
         held.sent = true;
-        held.sentAt = net_.now();
         held.late->at(held.until);
         held.from = link.wire.say(lineOf(setup));
     }
@@ -432,10 +432,11 @@
     const Held& held = held_.at(id);
     if (!held.sent) return takeBack(id, end == JoinEnd::TimedOut ? JoinEnd::NoConnection : end, why);
     Link& link = *held.link;
+    if (!link.server) return;  // its connection has just gone, and that ends it
     link.wire.say(endOf(held.tag));
     owe(*link.server, held.tag, &link);
     endSaid_ = id;
-    ended(id, {end, false, net_.now() - held.sentAt, {}, why});
+    ended(id, {end, false, net_.now() - held.askedAt, {}, why});
     endSaid_ = {};
 }
 
@@ -546,9 +547,7 @@
 
 void Servers::heard(Link& link, const Message& message) {
     Server& server = *link.server;
-    server.heardAt = net_.now();
-    server.refusals = 0;
-    server.lookedSince = 0;
+    server.livesAt(net_.now());
     const auto tagged = byTag_.find(message.tag);
     const auto it = tagged == byTag_.end() ? held_.end() : held_.find(tagged->second);
     if (message.verb == "FINISH") {
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -113,7 +113,7 @@
     void giveUp(SubId, JoinEnd, const char* why);
     void ended(SubId, core::JoinOutcome);
     void closeLink(Link&);
-    void closeLinks(Server&, Micros before);
+    void closeLinks(Server&, std::optional<Micros> before);
     void endLater(SubId, int joinNo, core::JoinOutcome);
     void allOver(Server&, Micros before);
     void look(Server&);
--- a/tests/deployments_test.cpp
+++ b/tests/deployments_test.cpp
@@ -62,10 +62,8 @@
 
 using nodeday::idOf;
 
-struct Day {
+struct Day : nodeday::Virtual {
     Json settings;
-    net::VirtualWorld world{5};
-    std::map<int, net::VirtualNode*> nodes;
     std::vector<std::unique_ptr<standins::PlatformServer>> servers;
     std::unique_ptr<standins::PlatformLog> log;
     record::Log record{"", record::Level::Error, 1};
@@ -86,15 +84,6 @@
             });
         run(50'000);
     }
-    net::Net& machine(int n) {
-        auto& node = nodes[n];
-        if (!node) node = &world.node("m" + std::to_string(n), place(n).ip);
-        return *node;
-    }
-    static net::Endpoint place(int n) {
-        return *net::endpointOf("10.0.0." + std::to_string(n + 1) + ":5060");
-    }
-    void run(Micros time) { world.runUntil(world.now() + time); }
     std::string configuration(int count) const {
         std::vector<net::Endpoint> places;
         for (int i = 0; i < count; ++i) places.push_back(place(i));
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -4,6 +4,7 @@
 
 #include "node/servers.hpp"
 #include "node_day.hpp"
+#include "setup/setup.hpp"
 
 namespace valekeel {
 namespace {
@@ -176,6 +177,62 @@
     EXPECT_GE(day.servers[0]->connections, 2);
 }
 
+// A face that ends one subscription as it hears of another's end, on the connection that has just gone.
+struct Follows final : core::Face, node::ServersUser {
+    core::Core* core = nullptr;
+    SubId other{};
+    std::vector<SubId> ended;
+    std::map<SubId, node::SetupWords> words;
+    void plays(SubId, SfuId, int) override {}
+    void throttled(SubId, Micros) override {}
+    void terminated(SubId id, core::Ended) override {
+        ended.push_back(id);
+        core->left(other);
+    }
+    void rungSet(SubId, int) override {}
+    void broke(SubId) override {}
+    const node::SetupWords* wordsOf(SubId id) override { return &words.at(id); }
+    void answered(SubId, const std::string&) override {}
+    void over(SubId, JoinEnd, int, const Load&) override {}
+};
+
+TEST(NodeServers, OneMayBeCalledOffWhileItsConnectionGoes) {
+    VirtualDay day(1);
+    day.servers[0]->does = [](const std::string&) { return Does::Nothing; };
+    net::Net& net = day.machine(21);
+    Follows user;
+    core::Watcher watcher;
+    node::Servers servers(net, {}, user);
+    const Json told = settings();
+    core::Core core(
+        net, setup::roomTypesOf(told, setup::ladderOf(told, "s"), "s"), {}, kSecond, servers, watcher,
+        [&](Host& host, Micros now) { return setup::made<core::ModuleDecides>(host, now, 7, told, "s"); });
+    user.core = &core;
+    servers.connect(core);
+    servers.at(SfuId{0}, day.servers[0]->at());
+    ListedSfu one;
+    one.standing = Standing::On;
+    core.listed(std::span(&one, 1), false);
+    const auto ask = [&](std::uint32_t room, int n) {
+        Wish wish;
+        wish.room = RoomTypeId{room};
+        wish.title = TitleId{"t"};
+        wish.holders = 3;
+        const SubId id = *core.ask(user, wish, 3 * kSecond);
+        user.words[id] = {idOf(n), room ? "paid" : "talk", "t", "offer"};
+        core.begin(id);
+        return id;
+    };
+    const SubId paid = ask(1, 1);
+    user.other = ask(0, 2);
+    day.run(200'000);
+    ASSERT_EQ(day.servers[0]->setups.size(), 2u);
+    day.servers[0]->resetAll();
+    day.run(kSecond);
+    EXPECT_EQ(user.ended, std::vector<SubId>{paid});
+    EXPECT_EQ(core.held(), 0u);
+}
+
 // ================= limits =================
 
 struct Words : node::ServersUser {
