--- a/review/standin/asked_twice.cpp
+++ b/review/standin/asked_twice.cpp
@@ -65,7 +65,7 @@
     Record record(arguments.folder + "/record.txt");
     record.line("TROUBLE=%d", arguments.trouble);
     Loop loop;
-    const double clientTimeout = 5, pause = 3.8;
+    const double clientTimeout = 5, pause = 3.85;
     std::string program = arguments.run;  // "exec build/src/valekeel node" without its last word
     program.erase(program.rfind(' '));
     const std::uint16_t port = freePort();
@@ -101,11 +101,11 @@
             box.signal(SIGCONT);
         });
     }
-    loop.runFor(0.1);
+    loop.runFor(0.05);
     Request first(loop, record, "connection 1", port, sid);
-    loop.runFor(0.2);
+    loop.runFor(0.1);
     Request second(loop, record, "connection 2", port, sid);
-    loop.runFor(0.2);
+    loop.runFor(0.1);
     record.line("the viewer cancels on connection 1 (reset) and waits on connection 2");
     first.connection->reset();
     // Twice the client timeout: whatever is not answered by then is not answered.
