--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -220,7 +220,7 @@
 };
 
 // The settings of a small, made-up deployment: one room, two classes, a ladder of four rungs. Each figure lies in
-// the range that the first deployment's site file gives for it, but for the number of media servers.
+// the range that the first deployment's site file gives for it, but for the numbers of media servers and of cores.
 inline Json smallSettings(int cells) {
     return Json{
         {"balancers", 2},
