Node: late messages of one set-up attempt no longer end the next

Cause: a message names only the tag, which all attempts of a set-up share, and Servers::onMessage found the session by tag and media server alone. The next attempt also went out on the connection that still carried the messages of the one given up. So a late answer, release or refusal of the first attempt was taken for the second's; a refusal even as proof that the second never ran.

Change: AttemptHistory remembers, for each media server, attempts that were given up and may still report, and the connection of each. The next attempt with that tag uses another connection; messages are attributed by connection, which works as a media server reports on the connection of the set-up. A release that may be either's ends the current session, and an end follows it, so nothing is left standing. New in the status line: earlier_attempts.

--- a/src/fakes/platform.cpp
+++ b/src/fakes/platform.cpp
@@ -1,6 +1,7 @@
 #include "fakes/platform.hpp"
 
 #include <array>
+#include <utility>
 
 namespace valekeel::fakes {
 
@@ -23,11 +24,16 @@
 }
 void PlatformConnection::sendBytes(const std::string& bytes) {
     if (isClosed_) return;
-    if (!isOpen_)
+    if (!isOpen_ || isHeld_)
         output_ += bytes;
     else if (!bytes.empty())
         stream_->write(bytes);
 }
+void PlatformConnection::releaseOutput() {
+    isHeld_ = false;
+    const std::string bytes = std::exchange(output_, {});
+    sendBytes(bytes);
+}
 void PlatformConnection::close(bool hard) {
     if (hard && !isClosed_) stream_->reset();
     isClosed_ = true;
@@ -60,6 +66,16 @@
     connections_.push_back(std::make_unique<PlatformConnection>(
         std::move(stream),
         [this](PlatformConnection& connection, const Json& message) { onMessage(connection, message); }));
+    for (const Json& release : std::exchange(releasesToRepeat_, {})) connections_.back()->send(release);
+}
+
+void PlatformServer::releaseOutput() {
+    for (const auto& connection : connections_) connection->releaseOutput();
+}
+
+void PlatformServer::sendRelease(PlatformConnection& connection, const Json& release) {
+    if (repeatsReleases) releasesToRepeat_.push_back(release);
+    connection.send(release);
 }
 
 void PlatformServer::start(PlatformConnection& connection, const std::string& tag) {
@@ -78,7 +94,7 @@
     if (verb == "FINISH") {
         ++finishCount;
         if (playing.erase(tag))
-            connection.send({{"verb", "FINISH"}, {"tag", tag}, {"opts", Json::object()}, {"rc", 31}});
+            sendRelease(connection, {{"verb", "FINISH"}, {"tag", tag}, {"opts", Json::object()}, {"rc", 31}});
     }
     if (verb != "START") return;
     const Json& opts = message.at("opts");
@@ -87,6 +103,7 @@
     const auto refuse = [&](int cause) {
         connection.send({{"verb", "FINISH"}, {"tag", tag}, {"opts", {{"load", "x0:0.5"}}}, {"rc", cause}});
     };
+    if (holdsOutput(tag)) connection.holdOutput();
     switch (reaction(tag)) {
         case SetupReaction::Play:
             return start(connection, tag);
@@ -128,7 +145,8 @@
 void PlatformServer::end(const std::string& tag, int cause) {
     playing.erase(tag);
     if (PlatformConnection* connection = connectionFor(tag))
-        connection->send({{"verb", "FINISH"}, {"tag", tag}, {"opts", {{"load", "x0:0.5"}}}, {"rc", cause}});
+        sendRelease(*connection,
+                    {{"verb", "FINISH"}, {"tag", tag}, {"opts", {{"load", "x0:0.5"}}}, {"rc", cause}});
 }
 void PlatformServer::sendNotice(const std::string& tag, const std::string& kind, double value) {
     if (PlatformConnection* connection = connectionFor(tag))
--- a/src/fakes/platform.hpp
+++ b/src/fakes/platform.hpp
@@ -22,8 +22,10 @@
     PlatformConnection(std::unique_ptr<net::Stream>, MessageHandler);     // accepted
     PlatformConnection(net::Net&, const net::Endpoint&, MessageHandler);  // connects
     void send(const nlohmann::json& message) { sendBytes(message.dump() + "\n"); }
-    void sendBytes(const std::string&);  // unchanged; once connected
-    void close(bool hard);               // with `hard` by a reset
+    void sendBytes(const std::string&);    // unchanged; once connected
+    void close(bool hard);                 // with `hard` by a reset
+    void holdOutput() { isHeld_ = true; }  // a path that delivers nothing until releaseOutput()
+    void releaseOutput();
     bool isClosed() const { return isClosed_; }
 
   private:
@@ -33,7 +35,7 @@
     void onWritable() override {}
     MessageHandler onMessage_;
     std::string input_, output_;
-    bool isOpen_, isClosed_ = false;
+    bool isOpen_, isClosed_ = false, isHeld_ = false;
     std::unique_ptr<net::Stream> stream_;
 };
 
@@ -58,7 +60,11 @@
     std::function<SetupReaction(const std::string& tag)> reaction = [](const std::string&) {
         return SetupReaction::Play;
     };
-    double linkUseBeforeAnswer = 0;               // if above 0: sent in a notice just before each answer
+    // Asked for each set-up: whether the path of its connection delivers nothing from now on.
+    std::function<bool(const std::string& tag)> holdsOutput = [](const std::string&) { return false; };
+    void releaseOutput();            // the held paths deliver all
+    bool repeatsReleases = false;    // sends each release once more on the next connection that opens
+    double linkUseBeforeAnswer = 0;  // if above 0: sent in a notice just before each answer
     void end(const std::string& tag, int cause);  // ends playback with a FINISH of this cause
     void sendNotice(const std::string& tag, const std::string& kind, double value);
     void resetConnections();  // playback continues
@@ -79,11 +85,13 @@
     void onAccepted(std::unique_ptr<net::Stream>) override;
     void onMessage(PlatformConnection&, const nlohmann::json&);
     void start(PlatformConnection&, const std::string& tag);
+    void sendRelease(PlatformConnection&, const nlohmann::json&);
     PlatformConnection* connectionFor(const std::string& tag);
     net::Net& net_;
     std::unique_ptr<net::Listener> listener_;
     std::vector<std::unique_ptr<PlatformConnection>> connections_;
     std::map<std::string, PlatformConnection*> connectionByTag_;
+    std::vector<nlohmann::json> releasesToRepeat_;
 };
 
 // Sends events as frames, and a heartbeat each second, to the last client that connected.
--- a/src/node/message.hpp
+++ b/src/node/message.hpp
@@ -10,6 +10,14 @@
 
 constexpr std::size_t kMaxLineBytes = 16 * 1024;  // the protocol's limit for one message
 
+// The causes of a media server's FINISH. Those of a refusal come before the answer, those of a release after.
+constexpr int kCauseFull = 34;    // refusal: the set-up never ran
+constexpr int kCauseError = 47;   // refusal
+constexpr int kCauseMoot = 102;   // refusal: the set-up was never sent
+constexpr int kCauseNormal = 16;  // release: the session came to its end; also the cause of the front's own
+constexpr int kCauseCancelled = 31;  // release: this front ended the session
+constexpr int kCauseCut = 41;        // release: the session was cut off; before the answer: a reset
+
 struct Message {
     std::string verb, tag;
     nlohmann::json options = nlohmann::json::object();  // strings and numbers by name; "opts" in the protocol
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -328,6 +328,7 @@
                     {"broken", s.broken},
                     {"garbled", s.garbled},
                     {"unknown", s.unknown},
+                    {"earlier_attempts", s.aboutEarlierAttempts},
                     {"early", s.earlyNotices},
                     {"figures", s.loadReports},
                     {"withdrawn", s.withdrawn},
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -14,25 +14,27 @@
 };
 FinishMeaning meaningOfCause(int cause) {
     switch (cause) {
-        case 34:
+        case kCauseFull:
             return {JoinResult::Full, true, "full: the protocol guarantees that it never ran"};
-        case 47:
+        case kCauseError:
             return {JoinResult::Error, false, "error: the media server looked at it"};
-        case 102:
+        case kCauseMoot:
             return {JoinResult::NeverSent, true, "moot: it was never sent"};
         default:
             return {JoinResult::Reset, false, "reset: it may have run"};
     }
 }
 JoinResult resultOfPlayback(int cause) {
-    return cause == 16 ? JoinResult::Played : cause == 31 ? JoinResult::Cancelled : JoinResult::Reset;
+    return cause == kCauseNormal      ? JoinResult::Played
+           : cause == kCauseCancelled ? JoinResult::Cancelled
+                                      : JoinResult::Reset;
 }
 
 std::string finishLine(const std::string& tag) {
     Message end;
     end.verb = "FINISH";
     end.tag = tag;
-    end.cause = 16;
+    end.cause = kCauseNormal;
     return formatMessage(end);
 }
 
@@ -41,7 +43,6 @@
 // A FINISH sent this long ago counts as delivered if its connection is still open.
 constexpr Micros kEndDeliveredAfter = 2 * kSecond;
 constexpr Micros kMaxConnectBackoff = 2 * kSecond;
-constexpr int kCauseCut = 41;  // the protocol's cause for a subscription that was cut off
 
 }  // namespace
 
@@ -67,10 +68,11 @@
 
 class Servers::Connection final : public LineConnectionHandler {
   public:
-    Connection(Servers& owner, Server& server, const net::Endpoint& endpoint,
+    Connection(Servers& owner, Server& server, ConnectionNumber number, const net::Endpoint& endpoint,
                const LineConnection::Limits& limits)
         : owner(owner),
           server(&server),
+          number(number),
           connectStartedAt(owner.net_.now()),
           transport(owner.net_, endpoint,
                     std::max(owner.limits_.connectTimeout, owner.limits_.probeConnectTimeout), limits,
@@ -93,6 +95,7 @@
 
     Servers& owner;
     Server* server;                 // null once closed
+    const ConnectionNumber number;  // in the order of opening
     std::set<SubId> pendingJoins;   // without an answer yet
     std::deque<SubId> unsentJoins;  // those of them that wait in this process
     bool isSuspect = false;         // silent for too long: takes no more joins
@@ -122,6 +125,7 @@
         Micros sentAt;
     };
     std::deque<QueuedEnd> queuedEnds;
+    AttemptHistory attempts;
     Micros nextConnectAt = 0, connectBackoff = 0;  // of connections opened for queued ends
 };
 
@@ -132,9 +136,10 @@
     int joinNo = 0;
     bool isPlaying = false, isEnding = false;
     Micros playingSince = 0;           // 0 for an adopted one
-    Connection* connection = nullptr;  // of a pending join
-    bool isSent = false;               // handed to the kernel; until then it waits in unsentJoins
-    std::uint64_t streamOffset = 0;    // of its START on the connection, in bytes
+    Connection* connection = nullptr;  // of the set-up; null once closed, and if adopted
+    AttemptProgress progress = AttemptProgress::Unanswered;
+    bool isSent = false;             // handed to the kernel; until then it waits in unsentJoins
+    std::uint64_t streamOffset = 0;  // of its START on the connection, in bytes
     int rung = 0;
     Micros requestedAt = 0, deadline = 0;
     std::unique_ptr<net::Timer> timer;  // until the join's deadline
@@ -221,6 +226,7 @@
     // The new process knows none of the old one's subscriptions and does not serve its connections, which
     // stay open if the machine vanished. Unsent joins were admitted while the server counted as warm.
     std::erase_if(server->queuedEnds, [&](const Server::QueuedEnd& end) { return end.queuedAt < launched; });
+    server->attempts.expire(launched, [](const std::string&, SubId) { return false; });
     withdrawAllUnsent(*server, "its media server has restarted");
     closeConnections(*server, launched);
     endAllPlayback(*server, launched);
@@ -242,33 +248,42 @@
     if (openConnections_ >= limits_.maxConnections) return nullptr;
     ++openConnections_;
     server.connections.push_back(std::make_unique<Connection>(
-        *this, server, server.endpoint,
+        *this, server, ++newestConnection_, server.endpoint,
         LineConnection::Limits{kMaxLineBytes, limits_.maxUnsentBytes, limits_.lineTimeout}));
     return server.connections.back().get();
 }
 
-Servers::Connection* Servers::connectionFor(Server& server, bool forPaidJoin, bool forJoin) {
+// Returns the best of the usable connections, else a new one; null if there are too many.
+template <class IsUsable>
+Servers::Connection* Servers::connectionFor(Server& server, IsUsable&& isUsable) {
     Connection* best = nullptr;
     for (const auto& connection : server.connections) {
-        if (connection->transport.isClosed() || connection->isSuspect) continue;
-        if (forJoin && connection->pendingJoins.size() >= limits_.maxJoinsPerConnection) continue;
+        if (connection->transport.isClosed() || connection->isSuspect || !isUsable(*connection)) continue;
         // It may still open, late; but a new connection has better chances for a request made now.
         if (connection->isConnecting() &&
             net_.now() - connection->connectStartedAt >= limits_.connectTimeout / 2)
             continue;
-        // If the peer closes an idle connection just as a paid set-up is sent, nobody knows whether that ran.
-        const Micros lastUsedAt =
-            std::max(connection->transport.lastReceivedAt(), connection->transport.lastSentAt());
-        if (forPaidJoin && connection->transport.isOpen() &&
-            net_.now() - lastUsedAt > limits_.maxIdleForPaidJoin)
-            continue;
         if (!best || (connection->transport.isOpen() && !best->transport.isOpen())) best = connection.get();
     }
     return best ? best : openConnection(server);
 }
 
+Servers::Connection* Servers::connectionForJoin(Server& server, const std::string& tag, bool isPaid) {
+    return connectionFor(server, [&](const Connection& connection) {
+        if (connection.pendingJoins.size() >= limits_.maxJoinsPerConnection) return false;
+        // Late messages about an earlier attempt of this set-up may still arrive there.
+        if (server.attempts.mayReportOn(connection.number, tag)) return false;
+        // If the peer closes an idle connection just as a paid set-up is sent, nobody knows whether that ran.
+        const Micros lastUsedAt =
+            std::max(connection.transport.lastReceivedAt(), connection.transport.lastSentAt());
+        return !isPaid || !connection.transport.isOpen() ||
+               net_.now() - lastUsedAt <= limits_.maxIdleForPaidJoin;
+    });
+}
+
 void Servers::sendLine(Server& server, const std::string& line) {
-    if (Connection* connection = connectionFor(server, false, false)) connection->transport.send(line);
+    if (Connection* connection = connectionFor(server, [](const Connection&) { return true; }))
+        connection->transport.send(line);
 }
 
 void Servers::closeConnection(Connection& connection) {
@@ -288,6 +303,10 @@
     server.connections.erase(it);
     closed->server = nullptr;
     --openConnections_;
+    server.attempts.onConnectionClosed(closed->number);
+    for (const SubId id : server.playing)
+        if (const auto session = sessions_.find(id); session != sessions_.end())
+            if (session->second.connection == closed.get()) session->second.connection = nullptr;
     const std::set<SubId> pendingJoins = std::move(closed->pendingJoins);
     const std::uint64_t writtenBytes = closed->transport.writtenBytes();
     bool mustResend = false;
@@ -345,7 +364,7 @@
 void Servers::join(SubId id, int joinNo, SfuId serverId, int rung, Micros timeOut, bool paid) {
     const SetupRequest* request = handler_.findSetupRequest(id);
     Server* server = find(serverId);
-    Connection* connection = request && server ? connectionFor(*server, paid, true) : nullptr;
+    Connection* connection = request && server ? connectionForJoin(*server, request->tag, paid) : nullptr;
     if (!connection || timeOut <= 0)
         return deferOutcome(
             id, joinNo,
@@ -355,6 +374,7 @@
     session.tag = request->tag;
     session.joinNo = joinNo;
     session.isPlaying = session.isEnding = session.isSent = false;
+    session.progress = AttemptProgress::Unanswered;
     session.earlyNotices.clear();
     session.connection = connection;
     session.rung = rung;
@@ -468,12 +488,31 @@
     const auto it = sessions_.find(id);
     if (it == sessions_.end()) return;
     const int joinNo = it->second.joinNo;
+    if (!outcome.neverRan) recordGivenUp(id, it->second);
     if (it->second.connection) it->second.connection->pendingJoins.erase(id);
     byTag_.erase(it->second.tag);
     sessions_.erase(it);
     core_->onJoinOutcome(id, joinNo, outcome);
 }
 
+// Its answer and its release may arrive while the next attempt with its tag is out.
+void Servers::recordGivenUp(SubId id, const Session& session) {
+    Server* server = find(session.serverId);
+    if (!server) return;
+    if (server->attempts.size() >= limits_.maxUnusedAttempts) expireAttempts(*server, net_.now());
+    AttemptHistory::GivenUpAttempt attempt;
+    if (session.connection->server) attempt.connection = session.connection->number;
+    attempt.progress = session.progress;
+    server->attempts.add(session.tag, id, attempt, newestConnection_, net_.now());
+}
+
+// Keeps the attempts of set-ups that may be tried again.
+void Servers::expireAttempts(Server& server, Micros givenUpBefore) {
+    server.attempts.expire(givenUpBefore, [this](const std::string& tag, SubId id) {
+        return byTag_.count(tag) > 0 || handler_.findSetupRequest(id);
+    });
+}
+
 // Ends an abandoned set-up or a playing subscription, unless its FINISH is queued already.
 void Servers::release(SubId id, SfuId serverId) {
     const SetupRequest* request = handler_.findSetupRequest(id);
@@ -576,24 +615,43 @@
     server.markAlive(net_.now());
     const auto tagged = byTag_.find(message.tag);
     const auto it = tagged == byTag_.end() ? sessions_.end() : sessions_.find(tagged->second);
-    if (message.verb == "FINISH") {
-        Message reply;
-        reply.verb = "FINISHED";
-        reply.tag = message.tag;
-        connection.transport.send(formatMessage(reply));
-        // It has ended at the server, whoever ended it.
-        std::erase_if(server.queuedEnds,
-                      [&](const Server::QueuedEnd& end) { return end.sentOn && end.tag == message.tag; });
+    const bool isOut = it != sessions_.end() && it->second.serverId == server.id &&
+                       (it->second.isPlaying || it->second.isSent);
+    AttemptHistory::CurrentAttempt current;
+    if (isOut && it->second.connection) current.connection = it->second.connection->number;
+    current.isPlaying = isOut && it->second.isPlaying;
+    const MessageSubject subject =
+        server.attempts.classify(connection.number, message, isOut ? &current : nullptr);
+    if (message.verb == "FINISH") onFinish(connection, message, subject);
+    if (subject == MessageSubject::Earlier) {
+        ++counts_.aboutEarlierAttempts;
+        return reportAnomaly_("about an attempt that was given up", formatMessage(message));
     }
-    // Nothing here matches: an abandoned set-up, a duplicate, or a tag never sent to this server.
-    if (it == sessions_.end() || it->second.serverId != server.id ||
-        (!it->second.isPlaying && !it->second.isSent)) {
+    if (!isOut) {  // a duplicate, an ended subscription, or a tag never sent to this server
         ++counts_.unknown;
         return reportAnomaly_("about no subscription held there", formatMessage(message));
     }
-    const SubId id = it->first;
-    Session& session = it->second;
-    if (session.isPlaying) return onSessionMessage(id, session, message);
+    if (it->second.isPlaying) return onSessionMessage(it->first, it->second, message);
+    onJoinMessage(it->first, it->second, server, message);
+}
+
+// Confirms a release or refusal, and removes the queued end that it answers.
+void Servers::onFinish(Connection& connection, const Message& message, MessageSubject subject) {
+    Message reply;
+    reply.verb = "FINISHED";
+    reply.tag = message.tag;
+    connection.transport.send(formatMessage(reply));
+    Server& server = *connection.server;
+    // An earlier attempt's release says nothing of a later attempt's end that was sent elsewhere.
+    std::erase_if(server.queuedEnds, [&](const Server::QueuedEnd& end) {
+        return end.sentOn && end.tag == message.tag &&
+               (subject != MessageSubject::Earlier || end.sentOn == &connection);
+    });
+    // If this was an earlier attempt's release, the current one still plays: end that too.
+    if (subject == MessageSubject::Unclear) queueEnd(server, message.tag, nullptr);
+}
+
+void Servers::onJoinMessage(SubId id, Session& session, Server& server, const Message& message) {
     const Micros took = net_.now() - session.requestedAt;
     // Notices may overtake the answer; they are kept, as they hold the latest load of this server.
     if (message.verb == "NOTICE") {
@@ -602,6 +660,7 @@
         return;
     }
     if (message.verb == "STARTED") {
+        session.progress = AttemptProgress::Answered;
         if (!message.description) {  // it has run, but there is nothing to pass on to the viewer
             finishJoin(id, {JoinResult::Reset, false, took, {}, "response without a description"});
             return;
@@ -610,8 +669,7 @@
         session.isPlaying = true;
         session.playingSince = net_.now();
         session.timer.reset();
-        if (session.connection) session.connection->pendingJoins.erase(id);
-        session.connection = nullptr;
+        session.connection->pendingJoins.erase(id);
         server.playing.insert(id);
         const std::vector<Message> notices = std::exchange(session.earlyNotices, {});
         handler_.onAnswer(id, *message.description);
@@ -621,6 +679,7 @@
             if (current != sessions_.end()) onSessionMessage(id, current->second, notice);
         }
     } else if (message.verb == "FINISH") {
+        session.progress = AttemptProgress::Ended;
         const FinishMeaning meaning = meaningOfCause(message.cause.value_or(0));
         if (meaning.end == JoinResult::Error)
             if (const SetupRequest* request = handler_.findSetupRequest(id))
@@ -711,6 +770,7 @@
             return isDelivered || isExpired;
         });
         sendQueuedEnds(*server);
+        expireAttempts(*server, now - limits_.unusedAttemptTimeout);
         std::vector<Connection*> idle;
         std::size_t usable = 0;
         for (const auto& connection : server->connections)
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -15,26 +15,29 @@
 #include <vector>
 
 #include "core/core.hpp"
+#include "node/attempt_history.hpp"
 #include "node/line_connection.hpp"
 #include "node/message.hpp"
 
 namespace valekeel::node {
 
 struct ServerLimits {
-    std::size_t maxConnections = 64;          // to all media servers together
-    std::size_t maxJoinsPerConnection = 32;   // unanswered at once
-    Micros connectTimeout = 250'000;          // how long a join waits for a connection
-    Micros idleTimeout = 15'000'000;          // an unneeded connection is closed after
-    Micros maxIdleForPaidJoin = 8'000'000;    // a paid join uses no connection that was idle for longer
-    Micros silenceTimeout = 4'000'000;        // a server with playing subscriptions is probed after
-    Micros probeDelayAfterRefusal = 150'000;  // after a refused connect
-    Micros probeInterval = 400'000;           // between other probes
-    Micros probeConnectTimeout = 1'200'000;   // connections may open this late without a loss
-    Micros lostAfter = 2'500'000;             // of failed probes; then the server counts as lost
-    std::size_t maxUnsentBytes = 256 * 1024;  // per connection
-    Micros lineTimeout = 400'000;             // how long a line may stay incomplete
-    std::size_t maxQueuedEnds = 512;          // per server; the oldest are dropped first
-    Micros queuedEndTimeout = 30'000'000;     // an undelivered end is dropped after
+    std::size_t maxConnections = 64;           // to all media servers together
+    std::size_t maxJoinsPerConnection = 32;    // unanswered at once
+    Micros connectTimeout = 250'000;           // how long a join waits for a connection
+    Micros idleTimeout = 15'000'000;           // an unneeded connection is closed after
+    Micros maxIdleForPaidJoin = 8'000'000;     // a paid join uses no connection that was idle for longer
+    Micros silenceTimeout = 4'000'000;         // a server with playing subscriptions is probed after
+    Micros probeDelayAfterRefusal = 150'000;   // after a refused connect
+    Micros probeInterval = 400'000;            // between other probes
+    Micros probeConnectTimeout = 1'200'000;    // connections may open this late without a loss
+    Micros lostAfter = 2'500'000;              // of failed probes; then the server counts as lost
+    std::size_t maxUnsentBytes = 256 * 1024;   // per connection
+    Micros lineTimeout = 400'000;              // how long a line may stay incomplete
+    std::size_t maxQueuedEnds = 512;           // per server; the oldest are dropped first
+    Micros queuedEndTimeout = 30'000'000;      // an undelivered end is dropped after
+    std::size_t maxUnusedAttempts = 512;       // per server; given-up attempts of set-ups that are over
+    Micros unusedAttemptTimeout = 30'000'000;  // such an attempt is forgotten after
 };
 
 // The parts of a viewer's set-up that are forwarded unchanged.
@@ -57,7 +60,7 @@
 struct ServerCounts {
     std::uint64_t connects = 0, refused = 0, noConnect = 0, broken = 0, garbled = 0, unknown = 0, probes = 0,
                   foundLost = 0, earlyNotices = 0, loadReports = 0, withdrawn = 0, endsSentLate = 0,
-                  endsDropped = 0;
+                  endsDropped = 0, aboutEarlierAttempts = 0;
     std::array<std::uint64_t, 4> notices{};  // served, at_rung, link_use, rack_use
 };
 
@@ -103,7 +106,9 @@
     struct Server;
     struct Session;
     Server* find(SfuId);
-    Connection* connectionFor(Server&, bool forPaidJoin, bool forJoin);
+    Connection* connectionForJoin(Server&, const std::string& tag, bool isPaid);
+    template <class IsUsable>
+    Connection* connectionFor(Server&, IsUsable&&);
     Connection* openConnection(Server&);
     void sendLine(Server&, const std::string& line);
     void sendUnsentJoins(Connection&);
@@ -113,10 +118,14 @@
     void sendQueuedEnds(Server&);
     void connectForQueuedEnds(Server&);
     void onMessage(Connection&, const Message&);
+    void onFinish(Connection&, const Message&, MessageSubject);
+    void onJoinMessage(SubId, Session&, Server&, const Message&);
     void onSessionMessage(SubId, Session&, const Message&);
     void onConnectionClosed(Connection&, DisconnectReason);
     void abandonJoin(SubId, JoinResult, const char* why);
     void finishJoin(SubId, core::JoinOutcome);
+    void recordGivenUp(SubId, const Session&);
+    void expireAttempts(Server&, Micros givenUpBefore);
     void closeConnection(Connection&);
     void closeConnections(Server&, std::optional<Micros> openedBefore);
     void deferOutcome(SubId, int joinNo, core::JoinOutcome);
@@ -143,6 +152,7 @@
     std::optional<SubId> justEnded_;  // the abandoned join whose FINISH was just sent
     std::vector<std::unique_ptr<Connection>> closedConnections_;
     std::size_t openConnections_ = 0;
+    ConnectionNumber newestConnection_ = 0;
     ServerCounts counts_;
     net::Timer deferredTimer_, deletionTimer_, cleanupTimer_;
 };
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -9,8 +9,7 @@
 namespace {
 
 // Causes of a FINISH, from the protocol.
-constexpr int kCauseNormal = 16, kCauseCut = 41, kCauseBusy = 42, kCauseFailed = 41, kCauseUnusable = 95,
-              kCauseTimedOut = 110;
+constexpr int kCauseBusy = 42, kCauseFailed = 41, kCauseUnusable = 95, kCauseTimedOut = 110;
 constexpr Micros kCleanupInterval = 100'000;
 constexpr double kMaxHintMs = 1e10;
 constexpr int kMaxUnusableSetups = 4;  // per connection; then it is closed
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -151,6 +151,143 @@
     EXPECT_EQ(fixture.servers[0]->playing.size(), 1u);
 }
 
+// ================= successive attempts with the same tag at the same server =================
+
+// Lets the path of the connection that carries the first set-up deliver nothing.
+void holdFirstSetup(VirtualNodeFixture& fixture) {
+    int setups = 0;
+    fixture.servers[0]->holdsOutput = [setups](const std::string&) mutable { return setups++ == 0; };
+}
+// Returns whether the viewer was answered.
+bool runUntilAnswered(VirtualNodeFixture& fixture, int n) {
+    for (int step = 0; step < 60 && fixture.responses(n).empty(); ++step) fixture.run(50'000);
+    return !fixture.responses(n).empty();
+}
+
+// An answer and a release that come late are taken for those of the next attempt: the viewer is told that it
+// is over, and the session of the next attempt is left standing.
+TEST(NodeServers, LateAnswerAndReleaseOfAnEarlierAttemptDoNotEndTheNext) {
+    VirtualNodeFixture fixture(1);
+    holdFirstSetup(fixture);
+    fixture.request(1);
+    while (fixture.setupCount(1) < 2) fixture.run(10'000);
+    fixture.servers[0]->releaseOutput();
+    fixture.run(2 * kSecond);
+    EXPECT_EQ(fixture.responses(1), "+");
+    EXPECT_EQ(fixture.servers[0]->playing.size(), 1u);
+    fixture.servers[0]->end(idOf(1), 16);
+    fixture.run(kSecond);
+    EXPECT_EQ(fixture.responses(1), "+ 16");
+}
+
+// The same if the late messages arrive while the next attempt plays already.
+TEST(NodeServers, LateReleaseOfAnEarlierAttemptDoesNotEndTheNextOnePlaying) {
+    VirtualNodeFixture fixture(1);
+    holdFirstSetup(fixture);
+    fixture.request(1);
+    ASSERT_TRUE(runUntilAnswered(fixture, 1));
+    fixture.run(300'000);
+    fixture.servers[0]->releaseOutput();
+    fixture.run(2 * kSecond);
+    EXPECT_EQ(fixture.responses(1), "+");
+    EXPECT_EQ(fixture.servers[0]->playing.size(), 1u);
+}
+
+// A late refusal is taken for proof that the next attempt never ran, which is then left standing.
+TEST(NodeServers, LateRefusalOfAnEarlierAttemptDoesNotEndTheNext) {
+    VirtualNodeFixture fixture(1);
+    holdFirstSetup(fixture);
+    int setups = 0;
+    fixture.servers[0]->reaction = [&](const std::string&) {
+        return setups++ == 0 ? SetupReaction::RefuseFull : SetupReaction::NoAnswer;
+    };
+    fixture.request(1);
+    while (fixture.setupCount(1) < 2) fixture.run(10'000);
+    const int endsBefore = fixture.servers[0]->finishCount;
+    fixture.servers[0]->releaseOutput();
+    fixture.run(5 * kSecond);
+    EXPECT_GT(fixture.servers[0]->finishCount, endsBefore);  // the second attempt was ended, too
+    EXPECT_NE(fixture.responses(1), "");
+}
+
+// An answer is lost: the release that confirms the end of the attempt is taken for a reset of the next one.
+TEST(NodeServers, ReleaseOfAnUnansweredAttemptDoesNotEndTheNext) {
+    VirtualNodeFixture fixture(1);
+    fixture.request(50);
+    fixture.run(kSecond);
+    int setups = 0;
+    fixture.servers[0]->reaction = [&](const std::string& tag) {
+        if (tag != idOf(1) || setups++ > 0) return SetupReaction::Play;
+        fixture.servers[0]->playing.insert(tag);
+        return SetupReaction::NoAnswer;
+    };
+    fixture.request(1);
+    fixture.run(100'000);
+    fixture.servers[0]->sendNotice(idOf(50), "link_use", 0.4);  // the connection works
+    ASSERT_TRUE(runUntilAnswered(fixture, 1));
+    EXPECT_EQ(fixture.responses(1), "+");
+    EXPECT_EQ(fixture.setupCount(1), 2);
+    EXPECT_EQ(fixture.servers[0]->playing.size(), 2u);
+}
+
+// Media servers repeat a release on the next connection that opens, which may be after the next attempt
+// plays.
+TEST(NodeServers, RepeatedReleaseOfAnEarlierAttemptDoesNotEndTheNext) {
+    VirtualNodeFixture fixture(1);
+    fixture.servers[0]->repeatsReleases = true;
+    holdFirstSetup(fixture);
+    fixture.request(1);
+    ASSERT_TRUE(runUntilAnswered(fixture, 1));
+    fixture.servers[0]->releaseOutput();
+    fixture.run(kSecond);
+    ASSERT_EQ(fixture.responses(1), "+");
+    const int connections = fixture.servers[0]->connectionCount;
+    fixture.servers[0]->resetConnections();
+    fixture.run(3 * kSecond);
+    ASSERT_GT(fixture.servers[0]->connectionCount, connections);
+    EXPECT_EQ(fixture.responses(1), "+");
+    EXPECT_EQ(fixture.servers[0]->playing.size(), 1u);
+}
+
+// A release that may belong to either attempt ends both: nothing is left standing.
+TEST(NodeServers, UnclearReleaseLeavesNothingStanding) {
+    VirtualNodeFixture fixture(1);
+    int setups = 0;
+    fixture.servers[0]->reaction = [&](const std::string&) {
+        return setups++ == 0 ? SetupReaction::NoAnswer : SetupReaction::Play;
+    };
+    fixture.request(1);
+    ASSERT_TRUE(runUntilAnswered(fixture, 1));
+    ASSERT_EQ(fixture.responses(1), "+");
+    ASSERT_EQ(fixture.setupCount(1), 2);
+    fixture.servers[0]->resetConnections();
+    fixture.run(kSecond);
+    fixture.servers[0]->end(idOf(1), 41);
+    fixture.servers[0]->playing.insert(idOf(1));  // it was the release of the first attempt
+    fixture.run(kSecond);
+    EXPECT_EQ(fixture.responses(1), "+ 41");
+    EXPECT_TRUE(fixture.servers[0]->playing.empty());
+}
+
+// A viewer's set-up comes again with its tag after its connection broke: another subscription, but the late
+// messages of its attempt name the same tag.
+TEST(NodeServers, LateAnswerToAViewersEarlierSetupDoesNotEndItsNext) {
+    VirtualNodeFixture fixture(1);
+    holdFirstSetup(fixture);
+    const auto other = fixture.connectViewer();
+    other->send(VirtualNodeFixture::startMessage(1));
+    fixture.run(100'000);
+    ASSERT_EQ(fixture.setupCount(1), 1);
+    other->close(true);
+    fixture.run(10'000);
+    fixture.request(1);
+    while (fixture.setupCount(1) < 2) fixture.run(10'000);
+    fixture.servers[0]->releaseOutput();
+    fixture.run(2 * kSecond);
+    EXPECT_EQ(fixture.responses(1), "+");
+    EXPECT_EQ(fixture.servers[0]->playing.size(), 1u);
+}
+
 TEST(NodeServers, ConnectionsToAServersOldAddressAreClosed) {
     VirtualNodeFixture fixture(1);
     fixture.request(1);
