HTTP: the release of a failed join no longer ends the next one's session

What callers see: a box loses the answer to a join; the viewer's next join at that box plays; the first one's release, handled 400 ms late, ends what plays (segments get 410, a call ends at its next probe).

Cause: DELETE /sub/KEY named the subscription, not the join. It travels on another connection than the next set-up, and is repeated with back-off where it fails, so nothing orders the two.

Change: the core says which join a release ends, and each join has its own key at boxes (FRONT.LIFE.SUBSCRIPTION.JOIN). This works without a change of the boxes: a late release names a key that the next session doesn't have. The audit counts seats by key, which becomes stricter: a failed join and the next count apart.

Evidence: Front.LateReleaseOfAnEarlierAttemptDoesNotEndTheNext failed before (1 release, 0 playing) and passes; Core.ReleasesNameTheJoinThatTheyEnd is new. The fake box can handle releases late (on top of answers-late, which stays).

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -102,7 +102,7 @@
     }
     sub.guardTimer.reset();
     if (sub.playing) {
-        sender_.release(id, sub.server);
+        sender_.release(id, sub.joins - 1, sub.server);
         callModule([&] {
             module_->onJoinEnded(now, id, sub.joins - 1, sub.server, JoinResult::Played, true,
                                  now - sub.playingSince, LoadReport{});
@@ -186,7 +186,7 @@
                                      outcome.load);
         });
         if (!wanted) {
-            sender_.release(id, server);
+            sender_.release(id, joinNo, server);
             close(id, "left");
         } else if (subs_.count(id)) {
             onLoadReport(id, server, outcome.load.linkUse, outcome.load.uplinkUse);
@@ -195,7 +195,7 @@
     }
     const bool over = sub.left || sub.state == State::Answered;
     // A failed join that may have run on the media server must not leave a session behind.
-    if (!outcome.neverRan) sender_.release(id, sub.server);
+    if (!outcome.neverRan) sender_.release(id, joinNo, sub.server);
     const SfuId server = sub.server;
     callModule([&] {
         module_->onJoinEnded(now, id, joinNo, server, outcome.result, over, outcome.took, outcome.load);
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -61,8 +61,9 @@
     virtual void cancel(SubId, int joinNo) = 0;
     // Like cancel(), but only if provably no byte of the join has left this front; otherwise does nothing.
     virtual void withdraw(SubId, int joinNo) = 0;
-    // Ends a session that plays, or may play, on the media server and frees its place there.
-    virtual void release(SubId, SfuId) = 0;
+    // Ends the session that this join set up, or may have, on the media server and frees its place there. A
+    // session that a later join sets up on the same media server is not affected.
+    virtual void release(SubId, int joinNo, SfuId) = 0;
     // Starts, or restarts, following the server list.
     virtual void followList() = 0;
 };
--- a/src/fakes/box.cpp
+++ b/src/fakes/box.cpp
@@ -205,11 +205,13 @@
 void Box::onRequest(http::Exchange& exchange) {
     const Micros now = fleet_.net_.now();
     const bool isUnresponsive = trouble.silent || now < trouble.pausedUntil;
-    if (!isUnresponsive && trouble.answersLate == 0) return serve(exchange);
+    const bool isRelease = exchange.head().method == "DELETE";
+    const Micros delay = trouble.answersLate + (isRelease ? trouble.releasesLate : 0);
+    if (!isUnresponsive && delay == 0) return serve(exchange);
     const std::uint64_t key = nextJob_++;
     auto& job = jobs_[key] = std::make_unique<Job>(*this, key, exchange);
     if (!isUnresponsive) {
-        job->due.after(trouble.answersLate);
+        job->due.after(delay);
     }
 }
 
--- a/src/fakes/box.hpp
+++ b/src/fakes/box.hpp
@@ -47,8 +47,8 @@
     double failPart = 0, losePart = 0, linkFactor = 1, setUpFactor = 1;
     // Reports an almost idle link; answers nothing; rejects set-ups.
     bool liesIdle = false, silent = false, draining = false;
-    // Age of the reported load; delay of each answer; when a pause ends.
-    Micros reportsLate = 0, answersLate = 0, pausedUntil = 0;
+    // Age of the reported load; delay of each answer, and on top of that of each release; when a pause ends.
+    Micros reportsLate = 0, answersLate = 0, releasesLate = 0, pausedUntil = 0;
 };
 
 class BoxFleet;
--- a/src/frontends/http/http_frontend.cpp
+++ b/src/frontends/http/http_frontend.cpp
@@ -146,8 +146,8 @@
         expectedStatus_ = range ? 206 : 200;
         sentAt_ = frontend_.net_.now();
         path_ = path;
-        const std::string sub =
-            (path.find('?') == std::string::npos ? "?sub=" : "&sub=") + frontend_.joinClient_.keyOf(sub_);
+        const std::string sub = (path.find('?') == std::string::npos ? "?sub=" : "&sub=") +
+                                frontend_.joinClient_.sessionKeyOf(sub_);
         request_ = frontend_.upstream_.send(serverId_, "GET", path + sub, fields, isRetry_,
                                             frontend_.settings_.segmentTimeout, *this);
     }
--- a/src/frontends/sip/sip_frontend.cpp
+++ b/src/frontends/sip/sip_frontend.cpp
@@ -735,8 +735,8 @@
     if (call.probe) retiredProbes_.push_back(std::move(call.probe));
     cleanupTimer_.soon();
     call.probe = std::make_unique<SessionProbe>(*this, call.sub);
-    call.probe->request = upstream_.send(call.serverId, "HEAD", "/sub/" + joinClient_.keyOf(call.sub), {},
-                                         false, settings_.probeTimeout, *call.probe);
+    call.probe->request = upstream_.send(call.serverId, "HEAD", "/sub/" + joinClient_.sessionKeyOf(call.sub),
+                                         {}, false, settings_.probeTimeout, *call.probe);
 }
 
 upstream::JoinRequest SipFrontend::joinRequestFor(SubId id, int) {
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -514,7 +514,7 @@
 }
 
 // Ends an abandoned set-up or a playing subscription, unless its FINISH is queued already.
-void Servers::release(SubId id, SfuId serverId) {
+void Servers::release(SubId id, int /*joinNo*/, SfuId serverId) {
     const SetupRequest* request = handler_.findSetupRequest(id);
     Server* server = find(serverId);
     const auto it = sessions_.find(id);
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -92,7 +92,7 @@
     void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) override;
     void cancel(SubId, int joinNo) override;
     void withdraw(SubId, int joinNo) override;
-    void release(SubId, SfuId) override;
+    void release(SubId, int joinNo, SfuId) override;
     void followList() override {}
 
     std::size_t connectionCount() const { return openConnections_; }
--- a/src/upstream/join_client.cpp
+++ b/src/upstream/join_client.cpp
@@ -27,9 +27,12 @@
                          ? RequestResult::Answered200
                          : RequestResult::BadAnswer;
             if (result == RequestResult::Answered200)
-                owner_.responses_[id_] = JoinResponse{
-                    std::move(*playlist.playlist), path_, head_.fields.joined("CMSD-Static").value_or(""),
-                    head_.fields.joined("CMSD-Dynamic").value_or(""), toHead_};
+                owner_.responses_[id_] = JoinResponse{owner_.makeSessionKey(id_, joinNo_),
+                                                      std::move(*playlist.playlist),
+                                                      path_,
+                                                      head_.fields.joined("CMSD-Static").value_or(""),
+                                                      head_.fields.joined("CMSD-Dynamic").value_or(""),
+                                                      toHead_};
         } else if (head_.status == 503) {
             result = RequestResult::Rejected;
             for (const auto& entry :
@@ -65,8 +68,12 @@
       deleteTimer_(net, [this] { finished_.clear(); }) {}
 JoinClient::~JoinClient() = default;
 
-std::string JoinClient::keyOf(SubId id) const {
-    return name_ + "." + std::to_string(id.v);
+std::string JoinClient::sessionKeyOf(SubId id) const {
+    const JoinResponse* response = responseOf(id);
+    return response ? response->sessionKey : std::string{};
+}
+std::string JoinClient::makeSessionKey(SubId id, int joinNo) const {
+    return name_ + "." + std::to_string(id.v) + "." + std::to_string(joinNo);
 }
 const JoinResponse* JoinClient::responseOf(SubId id) const {
     const auto it = responses_.find(id);
@@ -86,7 +93,8 @@
     JoinRequest request;
     if (source != requestSources_.end()) request = source->second->joinRequestFor(id, joinNo);
     const std::string target = "/talk/" + http::percentEncoded(request.title) +
-                               "/main.m3u8?sub=" + keyOf(id) + "&room=" + http::percentEncoded(request.room) +
+                               "/main.m3u8?sub=" + makeSessionKey(id, joinNo) +
+                               "&room=" + http::percentEncoded(request.room) +
                                "&rung=" + std::to_string(rung) + "&join=" + std::to_string(joinNo) +
                                (request.idempotencyToken.empty() ? "" : "&once=" + request.idempotencyToken);
     auto join = std::make_unique<PendingJoin>(*this, id, joinNo, target);
@@ -117,8 +125,8 @@
                          core::JoinOutcome{meaning.end, meaning.neverRan, duration, load, meaning.name});
 }
 
-void JoinClient::release(SubId id, SfuId server) {
-    client_.notify(server, "DELETE", "/sub/" + keyOf(id), {});
+void JoinClient::release(SubId id, int joinNo, SfuId server) {
+    client_.notify(server, "DELETE", "/sub/" + makeSessionKey(id, joinNo), {});
 }
 
 }  // namespace valekeel::upstream
--- a/src/upstream/join_client.hpp
+++ b/src/upstream/join_client.hpp
@@ -32,6 +32,7 @@
 
 // The response of the media server to the join that succeeded.
 struct JoinResponse {
+    std::string sessionKey;      // at the media server
     hls::Multivariant variants;  // in the order of the rungs
     std::string path;            // request target of the join
     std::string cmsdStatic, cmsdDynamic;
@@ -56,17 +57,21 @@
     // process.
     void releaseEarlierSessions(SfuId);
 
-    std::string keyOf(SubId) const;               // the subscription's key at media servers
+    // The key at the media server of the session that the subscription's successful join set up; empty
+    // without one. Each join has its own key, so that the release of a join that failed, however late it
+    // arrives, does not end the session of the next one.
+    std::string sessionKeyOf(SubId) const;
     const JoinResponse* responseOf(SubId) const;  // null unless a join succeeded; valid until forget()
 
     void join(SubId, int joinNo, SfuId, int rung, Micros timeOut, bool paid) override;
     void cancel(SubId, int joinNo) override;
     void withdraw(SubId, int joinNo) override;
-    void release(SubId, SfuId) override;
+    void release(SubId, int joinNo, SfuId) override;
     void followList() override { follow_(); }
 
   private:
     class PendingJoin;
+    std::string makeSessionKey(SubId, int joinNo) const;
     void finish(SubId, int joinNo, RequestResult, LoadReport, Micros duration);
     net::Net& net_;
     UpstreamClient& client_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -44,6 +44,7 @@
     ManualNet net;
     ScriptedModule* module = nullptr;
     std::unique_ptr<core::Core> core;
+    std::vector<int> releasedJoins;
     std::vector<std::string> notifications, sent;
     int guards = 0;
     bool unsubscribeOnAnswer = false, joinUnsent = false;
@@ -88,7 +89,10 @@
         sent.push_back("withdraw");
         if (joinUnsent) core->onJoinOutcome(id, joinNo, {JoinResult::Cancelled, true, 0, {}, "withdrawn"});
     }
-    void release(SubId, SfuId) override { sent.push_back("release"); }
+    void release(SubId, int joinNo, SfuId) override {
+        sent.push_back("release");
+        releasedJoins.push_back(joinNo);
+    }
     void followList() override { sent.push_back("follow"); }
     void onGuardTriggered(SubId) override { ++guards; }
     int count(const std::vector<std::string>& entries, const std::string& entry) const {
@@ -122,6 +126,20 @@
     EXPECT_EQ(fixture.core->subscriptionCount(), 0u);
 }
 
+// Guards against the release of a failed join that ends the session of the next one.
+TEST(Core, ReleasesNameTheJoinThatTheyEnd) {
+    CoreFixture fixture;
+    fixture.module->script = [](ScriptedModule& module, SubId id) {
+        module.host.join(id, SfuId{7}, kSecond);
+    };
+    const SubId id = fixture.subscribe();
+    fixture.core->onJoinOutcome(id, 0, {JoinResult::TimedOut, false, 50'000, {}, "timed out"});
+    fixture.module->host.join(id, SfuId{7}, kSecond);
+    fixture.core->onJoinOutcome(id, 1, {JoinResult::Played, false, 50'000, {}, "played"});
+    fixture.core->unsubscribe(id);
+    EXPECT_EQ(fixture.releasedJoins, (std::vector<int>{0, 1}));
+}
+
 // Whatever a faulty module does, a viewer gets one answer, in time, and at most one join is in flight.
 TEST(Core, FirstAnswerOfTheModuleWins) {
     CoreFixture fixture;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -263,6 +263,21 @@
     fixture.expectNoViolations();
 }
 
+// The release of an attempt that failed reaches the box after the next attempt there, and must not end that.
+TEST(Front, LateReleaseOfAnEarlierAttemptDoesNotEndTheNext) {
+    FrontFixture fixture(1);
+    fakes::Box& box = fixture.fleet->box(0);
+    box.trouble.losePart = 1;
+    box.trouble.releasesLate = 400'000;
+    fixture.play("open", 3 * kSecond);
+    ASSERT_TRUE(fixture.until([&] { return fixture.count("answer-lost") == 1; }));
+    box.trouble.losePart = 0;
+    ASSERT_TRUE(fixture.until([&] { return fixture.count("plays") == 1; }));
+    fixture.run(kSecond);
+    EXPECT_EQ(fixture.count("release"), 0);
+    EXPECT_EQ(box.playing(), 1u);
+}
+
 TEST(Front, ViewersOfACrashedServerMoveElsewhere) {
     FrontFixture fixture;
     for (int i = 0; i < 9; ++i) fixture.play("open", 3 * kSecond, 3);
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -399,7 +399,7 @@
     node::Servers servers(machines.machine(1), limits, handler);
     servers.setAddress(SfuId{0}, VirtualMachines::place(0));  // nobody listens there
     const auto limit = static_cast<std::uint32_t>(limits.maxQueuedEnds);
-    for (std::uint32_t n = 1; n <= limit + 88; ++n) servers.release(SubId{n}, SfuId{0});
+    for (std::uint32_t n = 1; n <= limit + 88; ++n) servers.release(SubId{n}, 0, SfuId{0});
     EXPECT_EQ(servers.queuedEndCount(), limits.maxQueuedEnds);
     EXPECT_EQ(servers.counts().endsDropped, 88u);
     machines.run(limits.queuedEndTimeout + kSecond);
@@ -413,7 +413,7 @@
     AnySetupHandler handler;
     node::Servers servers(fixture.machine(21), {}, handler);
     servers.setAddress(SfuId{0}, fixture.servers[0]->endpoint());
-    for (std::uint32_t n = 1; n <= 20; ++n) servers.release(SubId{n}, SfuId{0});
+    for (std::uint32_t n = 1; n <= 20; ++n) servers.release(SubId{n}, 0, SfuId{0});
     EXPECT_EQ(servers.queuedEndCount(), 20u);
     fixture.run(3 * kSecond);
     EXPECT_EQ(servers.queuedEndCount(), 0u);
