Node: a second repeated release is not taken for the earlier attempt's again

What callers would see: a session that its media server has released goes on for its viewer.

Cause: a media server repeats a release on the next connection that opens, once for each session; AttemptHistory took any number. Change: a repetition is counted against the attempt that it belongs to, a further release is unclear and ends what plays, on both sides. This works since each session has one release and one repetition.

Also: given-up attempts of set-ups that are over are kept for 8 s in place of 30 (only a viewer's set-up that is sent again within 50 ms can meet them), and Node::givenUpAttemptCount() shows in the churn test that none stays. The fake media server can take time for a set-up, lose an answer, hold a path either way and confirm an end on the connection of the set-up, as the protocol says.

--- a/src/fakes/platform.hpp
+++ b/src/fakes/platform.hpp
@@ -26,6 +26,8 @@
     void close(bool hard);                 // with `hard` by a reset
     void holdOutput() { isHeld_ = true; }  // a path that delivers nothing until releaseOutput()
     void releaseOutput();
+    void holdInput() { isInputHeld_ = true; }  // nothing that arrives is handled until releaseInput()
+    void releaseInput();
     bool isClosed() const { return isClosed_; }
 
   private:
@@ -33,9 +35,10 @@
     void onConnectFailed(net::ConnectError) override { isClosed_ = true; }
     void onReadable() override;
     void onWritable() override {}
+    void handleInput();
     MessageHandler onMessage_;
     std::string input_, output_;
-    bool isOpen_, isClosed_ = false, isHeld_ = false;
+    bool isOpen_, isClosed_ = false, isHeld_ = false, isInputHeld_ = false, isEndHeld_ = false;
     std::unique_ptr<net::Stream> stream_;
 };
 
@@ -46,6 +49,7 @@
     RefuseError,
     Reset,  // resets the connection
     NoAnswer,
+    PlayUnanswered,   // plays, but its answer is lost
     Garbage,          // plays, but answers with bytes that are no message
     PartialLine,      // plays, but never completes the answer's line
     PlayTwice,        // answers twice
@@ -62,13 +66,17 @@
     };
     // Asked for each set-up: whether the path of its connection delivers nothing from now on.
     std::function<bool(const std::string& tag)> holdsOutput = [](const std::string&) { return false; };
-    void releaseOutput();            // the held paths deliver all
-    bool repeatsReleases = false;    // sends each release once more on the next connection that opens
+    void releaseOutput();                    // the held paths deliver all
+    bool confirmsOnSetupConnection = false;  // confirms a FINISH there, not on the connection that carried it
+    bool repeatsReleases = false;            // sends each release once more on the next connection that opens
+    Micros setupTime = 0;            // from a set-up to its answer; a FINISH or a close meanwhile gives it up
     double linkUseBeforeAnswer = 0;  // if above 0: sent in a notice just before each answer
     void end(const std::string& tag, int cause);  // ends playback with a FINISH of this cause
     void sendNotice(const std::string& tag, const std::string& kind, double value);
     void resetConnections();  // playback continues
-    void crash();             // ends all playback, resets all connections and refuses new ones
+    // The connections that are open, in the order of opening.
+    std::vector<PlatformConnection*> openConnections() const;
+    void crash();  // ends all playback, resets all connections and refuses new ones
 
     struct Setup {
         std::string tag, title, room, description;
@@ -80,10 +88,12 @@
     std::vector<std::pair<std::string, int>> rungChanges;  // received, by tag
     // FINISH and ECHO messages received, connections accepted.
     int finishCount = 0, testCount = 0, connectionCount = 0;
+    int overlappingSetupCount = 0;  // of a tag that was being set up or played here
 
   private:
     void onAccepted(std::unique_ptr<net::Stream>) override;
     void onMessage(PlatformConnection&, const nlohmann::json&);
+    void react(PlatformConnection&, const std::string& tag, SetupReaction);
     void start(PlatformConnection&, const std::string& tag);
     void sendRelease(PlatformConnection&, const nlohmann::json&);
     PlatformConnection* connectionFor(const std::string& tag);
@@ -92,6 +102,7 @@
     std::vector<std::unique_ptr<PlatformConnection>> connections_;
     std::map<std::string, PlatformConnection*> connectionByTag_;
     std::vector<nlohmann::json> releasesToRepeat_;
+    std::map<std::string, std::unique_ptr<net::Timer>> pendingSetups_;  // by tag, until their reaction
 };
 
 // Sends events as frames, and a heartbeat each second, to the last client that connected.
--- a/src/node/attempt_history.hpp
+++ b/src/node/attempt_history.hpp
@@ -38,6 +38,7 @@
     struct GivenUpAttempt {
         std::optional<ConnectionNumber> connection;  // of the set-up; nothing if it has closed
         AttemptProgress progress = AttemptProgress::Unanswered;
+        bool isRepeated = false;  // its release was received on a connection opened later
     };
     // The attempt that is pending or plays now.
     struct CurrentAttempt {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -410,6 +410,9 @@
     return impl.core.subscriptionCount() + impl.viewers.tableEntryCount() + impl.servers.pendingJoinCount() +
            impl.servers.playingCount();
 }
+std::size_t Node::givenUpAttemptCount() const {
+    return impl_->servers.givenUpAttemptCount();
+}
 std::size_t Node::connectionCount() const {
     return impl_->viewers.connectionCount() + impl_->viewers.lingeringCount();
 }
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -191,6 +191,12 @@
     return count;
 }
 
+std::size_t Servers::givenUpAttemptCount() const {
+    std::size_t count = 0;
+    for (const auto& [id, server] : servers_) count += server->attempts.size();
+    return count;
+}
+
 // ================= the list of media servers =================
 
 void Servers::setAddress(SfuId id, const net::Endpoint& endpoint) {
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -22,22 +22,22 @@
 namespace valekeel::node {
 
 struct ServerLimits {
-    std::size_t maxConnections = 64;           // to all media servers together
-    std::size_t maxJoinsPerConnection = 32;    // unanswered at once
-    Micros connectTimeout = 250'000;           // how long a join waits for a connection
-    Micros idleTimeout = 15'000'000;           // an unneeded connection is closed after
-    Micros maxIdleForPaidJoin = 8'000'000;     // a paid join uses no connection that was idle for longer
-    Micros silenceTimeout = 4'000'000;         // a server with playing subscriptions is probed after
-    Micros probeDelayAfterRefusal = 150'000;   // after a refused connect
-    Micros probeInterval = 400'000;            // between other probes
-    Micros probeConnectTimeout = 1'200'000;    // connections may open this late without a loss
-    Micros lostAfter = 2'500'000;              // of failed probes; then the server counts as lost
-    std::size_t maxUnsentBytes = 256 * 1024;   // per connection
-    Micros lineTimeout = 400'000;              // how long a line may stay incomplete
-    std::size_t maxQueuedEnds = 512;           // per server; the oldest are dropped first
-    Micros queuedEndTimeout = 30'000'000;      // an undelivered end is dropped after
-    std::size_t maxUnusedAttempts = 512;       // per server; given-up attempts of set-ups that are over
-    Micros unusedAttemptTimeout = 30'000'000;  // such an attempt is forgotten after
+    std::size_t maxConnections = 64;          // to all media servers together
+    std::size_t maxJoinsPerConnection = 32;   // unanswered at once
+    Micros connectTimeout = 250'000;          // how long a join waits for a connection
+    Micros idleTimeout = 15'000'000;          // an unneeded connection is closed after
+    Micros maxIdleForPaidJoin = 8'000'000;    // a paid join uses no connection that was idle for longer
+    Micros silenceTimeout = 4'000'000;        // a server with playing subscriptions is probed after
+    Micros probeDelayAfterRefusal = 150'000;  // after a refused connect
+    Micros probeInterval = 400'000;           // between other probes
+    Micros probeConnectTimeout = 1'200'000;   // connections may open this late without a loss
+    Micros lostAfter = 2'500'000;             // of failed probes; then the server counts as lost
+    std::size_t maxUnsentBytes = 256 * 1024;  // per connection
+    Micros lineTimeout = 400'000;             // how long a line may stay incomplete
+    std::size_t maxQueuedEnds = 512;          // per server; the oldest sent ones are dropped first
+    Micros queuedEndTimeout = 30'000'000;     // an undelivered end is dropped after
+    std::size_t maxUnusedAttempts = 512;      // per server; given-up attempts of set-ups that are over
+    Micros unusedAttemptTimeout = 8'000'000;  // such an attempt is forgotten after
 };
 
 // The parts of a viewer's set-up that are forwarded unchanged.
@@ -98,7 +98,8 @@
     std::size_t connectionCount() const { return openConnections_; }
     std::size_t playingCount() const;
     std::size_t pendingJoinCount() const;
-    std::size_t queuedEndCount() const;  // ends to be sent or confirmed
+    std::size_t queuedEndCount() const;       // ends to be sent or confirmed
+    std::size_t givenUpAttemptCount() const;  // set-ups with attempts that may still report
     const ServerCounts& counts() const { return counts_; }
 
   private:
@@ -116,6 +117,7 @@
     void withdrawAllUnsent(Server&, const char* why);
     void queueEnd(Server&, const std::string& tag, Connection* sentOn);
     void sendQueuedEnds(Server&);
+    void removeDeliveredEnds(Server&);
     void connectForQueuedEnds(Server&);
     void onMessage(Connection&, const Message&);
     void onFinish(Connection&, const Message&, MessageSubject);
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -302,6 +302,7 @@
     fixture.viewer->close(false);
     fixture.run(12 * kSecond);
     EXPECT_EQ(fixture.front->tableEntryCount(), 0u);
+    EXPECT_EQ(fixture.front->givenUpAttemptCount(), 0u);
     EXPECT_EQ(fixture.front->connectionCount(), 0u);
     for (const auto& s : fixture.servers) EXPECT_TRUE(s->playing.empty());
 }
