Node: an end counts as delivered only once there is a sign that it was read

Cause: an end counted as delivered 2 s after it was written on a connection that was still open. Change: it counts as delivered when it is confirmed, when anything comes on its connection over 2 s after it, or with the front node's own close of an idle connection that isn't suspect; else it is sent again when the connection ends. This works since a process that hangs sends nothing. A full list drops sent ends first.

NodeServers.ConfirmedEndsAreRemoved asserted the fault: its media server confirmed nothing and the ends had to be gone after 3 s. It is replaced by three as strict: confirmed ends are gone at once; unconfirmed ones when something is heard later; or with their idle connection, each written exactly once, none counted as dropped.

--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -40,7 +40,7 @@
 
 constexpr std::size_t kMaxEarlyNotices = 4;
 constexpr Micros kCleanupInterval = 100'000;
-// A FINISH sent this long ago counts as delivered if its connection is still open.
+// A message received this long after a FINISH was sent on the same connection shows that it was read.
 constexpr Micros kEndDeliveredAfter = 2 * kSecond;
 constexpr Micros kMaxConnectBackoff = 2 * kSecond;
 
@@ -544,7 +544,9 @@
 void Servers::queueEnd(Server& server, const std::string& tag, Connection* sentOn) {
     if (server.queuedEnds.size() >= limits_.maxQueuedEnds) {
         ++counts_.endsDropped;
-        server.queuedEnds.pop_front();
+        const auto sent = std::find_if(server.queuedEnds.begin(), server.queuedEnds.end(),
+                                       [](const Server::QueuedEnd& end) { return end.sentOn; });
+        server.queuedEnds.erase(sent != server.queuedEnds.end() ? sent : server.queuedEnds.begin());
     }
     server.queuedEnds.push_back({tag, net_.now(), sentOn, net_.now()});
     if (!sentOn) sendQueuedEnds(server);
@@ -759,6 +761,17 @@
     openConnection(server);
 }
 
+// Removes the ends that were read, and those that nobody has confirmed for too long.
+void Servers::removeDeliveredEnds(Server& server) {
+    std::erase_if(server.queuedEnds, [&](const Server::QueuedEnd& end) {
+        const bool isDelivered =
+            end.sentOn && end.sentOn->transport.lastReceivedAt() - end.sentAt > kEndDeliveredAfter;
+        const bool isExpired = net_.now() - end.queuedAt > limits_.queuedEndTimeout;
+        counts_.endsDropped += isExpired && !end.sentOn;
+        return isDelivered || isExpired;
+    });
+}
+
 void Servers::cleanUp() {
     cleanupTimer_.after(kCleanupInterval);
     const Micros now = net_.now();
@@ -768,13 +781,7 @@
         Server* server = find(id);
         if (!server) continue;
         probe(*server);
-        std::erase_if(server->queuedEnds, [&](const Server::QueuedEnd& end) {
-            const bool isDelivered =
-                end.sentOn && !end.sentOn->isSuspect && now - end.sentAt > kEndDeliveredAfter;
-            const bool isExpired = now - end.queuedAt > limits_.queuedEndTimeout;
-            counts_.endsDropped += isExpired && !isDelivered;
-            return isDelivered || isExpired;
-        });
+        removeDeliveredEnds(*server);
         sendQueuedEnds(*server);
         expireAttempts(*server, now - limits_.unusedAttemptTimeout);
         std::vector<Connection*> idle;
@@ -793,7 +800,12 @@
                 usable -= !connection->isSuspect;
             }
         }
-        for (Connection* connection : idle) closeConnection(*connection);
+        for (Connection* connection : idle) {
+            // What was sent on it arrives before the close, unless its peer reads nothing.
+            if (!connection->isSuspect)
+                std::erase_if(server->queuedEnds, [&](const auto& end) { return end.sentOn == connection; });
+            closeConnection(*connection);
+        }
     }
 }
 
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -106,6 +106,20 @@
     EXPECT_TRUE(fixture.servers[0]->playing.empty());
 }
 
+// A media server hangs for longer than an end is expected to take, and then resets the connection unread.
+TEST(NodeServers, EndThatAHungServerNeverReadIsSentAgain) {
+    VirtualNodeFixture fixture(1);
+    fixture.request(1);
+    fixture.run(kSecond);
+    fixture.servers[0]->openConnections().at(0)->holdInput();
+    fixture.sendFinish(1);
+    fixture.run(3 * kSecond);
+    EXPECT_EQ(fixture.servers[0]->playing.size(), 1u);
+    fixture.servers[0]->resetConnections();
+    fixture.run(3 * kSecond);
+    EXPECT_TRUE(fixture.servers[0]->playing.empty());
+}
+
 // The network is cut for some seconds: viewers are released, and the playback that continued at the server is
 // ended there.
 TEST(NodeServers, PlaybackBehindANetworkCutIsEndedAfterwards) {
@@ -411,11 +425,42 @@
     AnySetupHandler handler;
     node::Servers servers(fixture.machine(21), {}, handler);
     servers.setAddress(SfuId{0}, fixture.servers[0]->endpoint());
+    for (int n = 1; n <= 20; ++n) fixture.servers[0]->playing.insert(idOf(n));
     for (std::uint32_t n = 1; n <= 20; ++n) servers.release(SubId{n}, 0, SfuId{0});
     EXPECT_EQ(servers.queuedEndCount(), 20u);
+    fixture.run(100'000);
+    EXPECT_EQ(servers.queuedEndCount(), 0u);
+    EXPECT_EQ(fixture.servers[0]->finishCount, 20);
+}
+
+// Ends of unknown sessions are not confirmed: they were read if the media server sends something later.
+TEST(NodeServers, UnconfirmedEndsAreRemovedOnceTheServerIsHeardLater) {
+    VirtualNodeFixture fixture(1);
+    AnySetupHandler handler;
+    node::Servers servers(fixture.machine(21), {}, handler);
+    servers.setAddress(SfuId{0}, fixture.servers[0]->endpoint());
+    for (std::uint32_t n = 1; n <= 20; ++n) servers.release(SubId{n}, 0, SfuId{0});
     fixture.run(3 * kSecond);
+    EXPECT_EQ(servers.queuedEndCount(), 20u);
+    fixture.servers[0]->sendNotice(idOf(99), "link_use", 0.4);
+    fixture.run(200'000);
+    EXPECT_EQ(servers.queuedEndCount(), 0u);
+    EXPECT_EQ(fixture.servers[0]->finishCount, 20);
+}
+
+// The front node's own close of an idle connection delivers them, so nothing is sent again.
+TEST(NodeServers, UnconfirmedEndsAreRemovedWithTheirIdleConnection) {
+    VirtualNodeFixture fixture(1);
+    AnySetupHandler handler;
+    node::ServerLimits limits;
+    node::Servers servers(fixture.machine(21), limits, handler);
+    servers.setAddress(SfuId{0}, fixture.servers[0]->endpoint());
+    for (std::uint32_t n = 1; n <= 20; ++n) servers.release(SubId{n}, 0, SfuId{0});
+    fixture.run(limits.idleTimeout + kSecond);
     EXPECT_EQ(servers.queuedEndCount(), 0u);
+    EXPECT_EQ(servers.connectionCount(), 0u);
     EXPECT_EQ(fixture.servers[0]->finishCount, 20);
+    EXPECT_EQ(servers.counts().endsDropped, 0u);
 }
 
 }  // namespace
