HTTP: a viewer that waits on several connections is answered on each

Cause: any connection lost while it waits started closed-after, the timer's end did not look at requests that wait, and endViewer took those away without an answer. Change: closed-after starts when no connection with an open request is left; endViewer is the one place that every end passes, and answers each request that waits after it has removed the viewer. Lost connections no longer use up the viewer's four places.

Evidence: Front.ALostConnectionDoesNotEndAViewerThatWaitsOnOthers and AViewerMayReturnUntilClosedAfterItsLastConnection fail without the change; EachEndAnswersAllRequestsThatWait (time-out, failing box, lost box, planned stop) and AViewerWhoseLastConnectionIsLostEnds pass both ways and keep the bounds. SIP was read, not tested, for the same question.

--- a/src/frontends/http/http_frontend.cpp
+++ b/src/frontends/http/http_frontend.cpp
@@ -31,6 +31,7 @@
     std::uint64_t segments = 0, bytes = 0;
     std::unique_ptr<net::Timer> idleTimer;
     Viewer(const PlaylistWindowSettings& settings) : window(settings) {}
+    bool hasOpenRequest() const;  // one that waits or fetches, on a connection that is open
 };
 
 // A request that waits for the answer to its subscription.
@@ -44,19 +45,23 @@
         if (exchange_) exchange_->setHandler(nullptr);
     }
     http::Exchange* release() { return std::exchange(exchange_, nullptr); }
+    bool isConnected() const { return exchange_ != nullptr; }
 
   private:
     void onConnectionLost() override {
         exchange_ = nullptr;
-        // The viewer may still return on another connection, recognised by its sid.
-        if (Viewer* viewer = frontend_.byToken(token_))
-            viewer->idleTimer->after(frontend_.settings_.disconnectedTimeout);
+        if (Viewer* viewer = frontend_.byToken(token_)) frontend_.onRequestLost(*viewer);
     }
     HttpFrontend& frontend_;
     std::string token_;
     http::Exchange* exchange_;
 };
 
+bool HttpFrontend::Viewer::hasOpenRequest() const {
+    return fetches > 0 || std::any_of(waiters.begin(), waiters.end(),
+                                      [](const auto& waiter) { return waiter->isConnected(); });
+}
+
 // Relays one object from a media server to a viewer. Fetches the media playlist first if it is not cached.
 // Owned by relays_ until retire().
 class HttpFrontend::Relay final : public upstream::UpstreamRequestHandler, public http::ExchangeHandler {
@@ -277,11 +282,11 @@
     }
     void onConnectionLost() override {
         exchange_ = nullptr;
-        if (Viewer* viewer = frontend_.byToken(token_)) {
+        if (const Viewer* viewer = frontend_.byToken(token_))
             reportPathDelivery(*viewer, frontend_.net_.now());
-            viewer->idleTimer->after(frontend_.settings_.disconnectedTimeout);
-        }
+        HttpFrontend& frontend = frontend_;
         retire();
+        if (Viewer* viewer = frontend.byToken(token_)) frontend.onRequestLost(*viewer);
     }
 
     void endLostPlayback(upstream::RequestResult result) {
@@ -485,6 +490,7 @@
             Viewer& viewer = *found->second;
             updateHints(viewer, hint);
             if (viewer.playing) return answerPlaying(viewer, exchange);
+            std::erase_if(viewer.waiters, [](const auto& waiter) { return !waiter->isConnected(); });
             if (viewer.waiters.size() <
                 settings_.maxFetchesPerViewer) {  // same session on another connection
                 viewer.waiters.push_back(std::make_unique<Waiter>(*this, viewer.token, exchange));
@@ -540,12 +546,12 @@
     viewer.idleTimer = std::make_unique<net::Timer>(net_, [this, token = viewer.token] {
         Viewer* idleViewer = byToken(token);
         if (!idleViewer) return;
-        // A viewer with a fetch in progress is not idle: the server or a link is slow. The fetch has its own
+        // A viewer with an open request is not idle: the server or a link is slow. The request has its own
         // timeout.
-        if (idleViewer->fetches > 0)
+        if (idleViewer->hasOpenRequest())
             idleViewer->idleTimer->after(settings_.idleTimeout / 2);
         else
-            endViewer(*idleViewer, true);
+            endViewer(*idleViewer, true, {410, "the subscription is over: ask for the talk again"});
     });
     viewer.idleTimer->after(std::max(settings_.idleTimeout, roomTypes_.clientTimeouts[room->v]));
     viewer.waiters.push_back(std::make_unique<Waiter>(*this, viewer.token, exchange));
@@ -699,18 +705,13 @@
     Viewer* viewer = bySub(id);
     if (!viewer) return;
     const Micros advertisedRetryAfter = retryAfter > 0 ? admission_.retryAfter(net_.now(), retryAfter) : 0;
-    answerWaiters(*viewer,
-                  [&](http::Exchange& e) { refuse(e, 503, "no room for it now", advertisedRetryAfter); });
-    endViewer(*viewer, false);
+    endViewer(*viewer, false, {503, "no room for it now", advertisedRetryAfter});
 }
 
 void HttpFrontend::onTerminated(SubId id, core::TerminationReason reason) {
     Viewer* viewer = bySub(id);
     if (!viewer) return;
-    answerWaiters(*viewer, [&](http::Exchange& e) {
-        refuse(e, reason == core::TerminationReason::TimedOut ? 504 : 502, "its set-up failed");
-    });
-    endViewer(*viewer, false);
+    endViewer(*viewer, false, {reason == core::TerminationReason::TimedOut ? 504 : 502, "its set-up failed"});
 }
 
 void HttpFrontend::onRungChanged(SubId id, int rung) {
@@ -718,10 +719,15 @@
 }
 
 void HttpFrontend::onServerLost(SubId id) {
-    if (Viewer* viewer = bySub(id)) endViewer(*viewer, false);
+    if (Viewer* viewer = bySub(id)) endViewer(*viewer, false, {502, "its box was lost"});
 }
 
-void HttpFrontend::endViewer(Viewer& viewer, bool notifyCore) {
+// The viewer may still return on another connection, recognised by its sid.
+void HttpFrontend::onRequestLost(Viewer& viewer) {
+    if (!viewer.hasOpenRequest()) viewer.idleTimer->after(settings_.disconnectedTimeout);
+}
+
+void HttpFrontend::endViewer(Viewer& viewer, bool notifyCore, const EndResponse& response) {
     const SubId id = viewer.sub;
     log_.write(logging::Level::Info, net_.now(), net_.wallNow(), "viewer-over",
                {{"trace", viewer.trace.trace},
@@ -741,6 +747,10 @@
     cleanupTimer_.soon();
     if (notifyCore) core_.unsubscribe(id);
     joinClient_.forget(id);
+    // Last: an answer may bring the next request on its connection, which must not meet this viewer.
+    answerWaiters(viewer, [&](http::Exchange& exchange) {
+        refuse(exchange, response.status, response.why, response.retryAfter);
+    });
 }
 
 upstream::JoinRequest HttpFrontend::joinRequestFor(SubId id, int) {
@@ -766,7 +776,8 @@
     stopping_ = true;
     std::vector<Viewer*> all;
     for (auto& [token, viewer] : viewers_) all.push_back(viewer.get());
-    for (Viewer* viewer : all) endViewer(*viewer, true);
+    for (Viewer* viewer : all)
+        endViewer(*viewer, true, {503, "this front is stopping", settings_.retryAfterWhenFull});
     server_->shutDown(std::move(done));
 }
 
--- a/src/frontends/http/http_frontend.hpp
+++ b/src/frontends/http/http_frontend.hpp
@@ -98,7 +98,16 @@
     http::Fields cmsdFields(const Viewer&, std::string_view upstreamStatic, std::string_view upstreamDynamic,
                             std::string_view objectType, std::optional<Micros> toHead) const;
     void updateHints(Viewer&, const hints::Cmcd&);
-    void endViewer(Viewer&, bool notifyCore);
+    // What a request that still waits is told when its subscription ends.
+    struct EndResponse {
+        int status;
+        std::string_view why;
+        Micros retryAfter = 0;
+    };
+    // The only end of a viewer: removes it, then answers each request that still waits for it.
+    void endViewer(Viewer&, bool notifyCore, const EndResponse&);
+    // A connection with an open request of the viewer was lost.
+    void onRequestLost(Viewer&);
     Viewer* byToken(const std::string&);
     Viewer* bySub(SubId);
     void answerWaiters(Viewer&, const std::function<void(http::Exchange&)>&);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -563,6 +563,137 @@
     EXPECT_TRUE(entries[1].mb && entries[1].rd);
 }
 
+// One request for the talk with a sid, on a connection of its own.
+struct SidRequest final : http::FetchHandler {
+    http::Connection connection;
+    http::ResponseHead head;
+    int answers = 0;
+    bool hasFailed = false;
+    explicit SidRequest(FrontFixture& fixture, const std::string& room = "paid")
+        : connection(fixture.net, fixture.front->http(), {}, kSecond) {
+        http::Fields fields;
+        fields.add("CMCD-Session", "sid=\"same\"");
+        connection.fetch(
+            http::requestBytes("GET", "/talk/t/main.m3u8?room=" + room, fixture.front->http(), fields), false,
+            *this);
+    }
+    void onHead(const http::ResponseHead& received) override { head = received; }
+    void onBody(std::string_view) override {}
+    void onFetched(bool) override { ++answers; }
+    void onFailed(http::FetchError) override { hasFailed = true; }
+};
+
+struct SidFixture : FrontFixture {
+    std::vector<std::unique_ptr<SidRequest>> requests;
+    SidFixture() : FrontFixture(1) {}
+    void request(int count, const std::string& room = "paid") {
+        for (int i = 0; i < count; ++i) {
+            requests.push_back(std::make_unique<SidRequest>(*this, room));
+            run(20'000);
+        }
+    }
+    void lose(std::size_t index) {
+        requests[index]->connection.abandon();
+        requests.erase(requests.begin() + static_cast<std::ptrdiff_t>(index));
+        run(20'000);
+    }
+    void expectOneAnswerEach(int status) {
+        until(
+            [&] {
+                return std::all_of(requests.begin(), requests.end(),
+                                   [](const auto& r) { return r->answers > 0; });
+            },
+            2 * kSecond);
+        for (const auto& request : requests) {
+            EXPECT_EQ(request->answers, 1);
+            EXPECT_FALSE(request->hasFailed);
+            EXPECT_EQ(request->head.status, status);
+        }
+    }
+    bool isEmpty() {
+        return until(
+            [&] { return front->httpFrontend().viewers() == 0 && front->core().subscriptionCount() == 0; });
+    }
+};
+
+// A lost connection ended the subscription after `closed-after`, though others waited: they got no answer.
+TEST(Front, ALostConnectionDoesNotEndAViewerThatWaitsOnOthers) {
+    for (const int count : {2, 3})
+        for (int lost = 0; lost < count; ++lost) {
+            SidFixture fixture;
+            fixture.fleet->box(0).trouble.pausedUntil = fixture.net.now() + kSecond;
+            fixture.request(count);
+            fixture.lose(static_cast<std::size_t>(lost));
+            fixture.run(500'000);  // over three times closed-after
+            fixture.fleet->box(0).resume();
+            fixture.expectOneAnswerEach(200);
+            EXPECT_EQ(fixture.count("charged"), 1);
+        }
+}
+
+TEST(Front, AViewerMayReturnUntilClosedAfterItsLastConnection) {
+    SidFixture fixture;
+    fixture.fleet->box(0).trouble.pausedUntil = fixture.net.now() + kSecond;
+    for (int i = 0; i < 6; ++i) {  // more often than a viewer may wait at once
+        fixture.request(1);
+        fixture.lose(0);
+        fixture.run(60'000);
+    }
+    fixture.request(1);
+    fixture.run(300'000);
+    fixture.fleet->box(0).resume();
+    fixture.expectOneAnswerEach(200);
+    EXPECT_EQ(fixture.count("charged"), 1);
+}
+
+TEST(Front, AViewerWhoseLastConnectionIsLostEnds) {
+    SidFixture fixture;
+    fixture.fleet->box(0).trouble.pausedUntil = fixture.net.now() + kSecond;
+    fixture.request(2, "open");
+    fixture.lose(0);
+    fixture.lose(0);
+    EXPECT_EQ(fixture.front->httpFrontend().viewers(), 1u);
+    fixture.run(300'000);
+    EXPECT_EQ(fixture.front->httpFrontend().viewers(), 0u);
+    EXPECT_TRUE(fixture.isEmpty());
+}
+
+// Each waiting request gets exactly one answer, whatever ends its subscription.
+TEST(Front, EachEndAnswersAllRequestsThatWait) {
+    {
+        SidFixture fixture;  // the client timeout
+        fixture.fleet->box(0).trouble.silent = true;
+        fixture.request(3);
+        fixture.expectOneAnswerEach(504);
+        EXPECT_TRUE(fixture.isEmpty());
+    }
+    {
+        SidFixture fixture;  // refused by its box
+        fixture.fleet->box(0).trouble.failPart = 1;
+        fixture.fleet->box(0).trouble.answersLate = 200'000;
+        fixture.request(3);
+        fixture.expectOneAnswerEach(502);
+        EXPECT_TRUE(fixture.isEmpty());
+    }
+    {
+        SidFixture fixture;  // its box is lost
+        fixture.fleet->box(0).trouble.silent = true;
+        fixture.request(3);
+        fixture.fleet->box(0).die("died");
+        fixture.expectOneAnswerEach(502);
+        EXPECT_TRUE(fixture.isEmpty());
+    }
+    {
+        SidFixture fixture;  // a planned stop, which waits for the client timeout
+        fixture.fleet->box(0).trouble.silent = true;
+        fixture.request(3);
+        bool hasStopped = false;
+        fixture.front->stop(100'000, [&] { hasStopped = true; });
+        fixture.expectOneAnswerEach(504);
+        EXPECT_TRUE(fixture.until([&] { return hasStopped; }));
+    }
+}
+
 TEST(Front, AdmissionRejectsAFloodWithRetryAfter) {
     FrontFixture fixture;
     fixture.front.reset();
