Node: refused connects end nothing while a live connection stands

Cause: two refusals in a row counted as a dead process whatever connection stood, and the end that was due was never written on a suspect connection. A dying process resets its connections (PROTOCOL.md). Change: refusals alone end nothing while a connection is open that has brought something within the silence timeout; an end goes on a suspect connection where there is no other, and elsewhere again once that closes.

--- a/src/fakes/platform.hpp
+++ b/src/fakes/platform.hpp
@@ -73,7 +73,8 @@
     double linkUseBeforeAnswer = 0;  // if above 0: sent in a notice just before each answer
     void end(const std::string& tag, int cause);  // ends playback with a FINISH of this cause
     void sendNotice(const std::string& tag, const std::string& kind, double value);
-    void resetConnections();  // playback continues
+    void resetConnections();                         // playback continues
+    void refuseConnections() { listener_.reset(); }  // those that are open stay
     // The connections that are open, in the order of opening.
     std::vector<PlatformConnection*> openConnections() const;
     void crash();  // ends all playback, resets all connections and refuses new ones
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -287,6 +287,14 @@
     });
 }
 
+// Whether a connection is open that has brought something within the silence timeout.
+bool Servers::hasLiveConnection(const Server& server) const {
+    return std::any_of(server.connections.begin(), server.connections.end(), [&](const auto& connection) {
+        return connection->transport.isOpen() &&
+               net_.now() - connection->transport.lastReceivedAt() <= limits_.silenceTimeout;
+    });
+}
+
 void Servers::sendLine(Server& server, const std::string& line) {
     if (Connection* connection = connectionFor(server, [](const Connection&) { return true; }))
         connection->transport.send(line);
@@ -327,8 +335,9 @@
         const Micros now = net_.now();
         server.refusals = reason == DisconnectReason::Refused ? server.refusals + 1 : 0;
         if (reason == DisconnectReason::Refused) server.nextProbeAt = now + limits_.probeDelayAfterRefusal;
-        // Refused twice in a row: nobody listens, so the process has died, and its subscriptions with it.
-        const bool isLost = server.refusals >= 2 ||
+        // Refused twice in a row: nobody listens, so the process has died, and its subscriptions with it. A
+        // process that only takes no more connections keeps those that stand; a dying one resets them.
+        const bool isLost = (server.refusals >= 2 && !hasLiveConnection(server)) ||
                             (server.probingSince > 0 && now - server.probingSince >= limits_.lostAfter);
         if (isLost && !server.playing.empty()) {
             ++counts_.foundLost;
@@ -555,12 +564,16 @@
 void Servers::sendQueuedEnds(Server& server) {
     const auto isUnsent = [](const Server::QueuedEnd& end) { return !end.sentOn; };
     if (std::none_of(server.queuedEnds.begin(), server.queuedEnds.end(), isUnsent)) return;
+    // On a suspect connection only for want of another: an end that is not read there is sent again later.
+    const auto rank = [](const Connection& connection) {
+        return std::pair(!connection.isSuspect, connection.transport.lastReceivedAt());
+    };
     Connection* target = nullptr;
     for (const auto& connection : server.connections)
-        if (connection->transport.isOpen() && !connection->isSuspect &&
-            (!target || connection->transport.lastReceivedAt() > target->transport.lastReceivedAt()))
+        if (connection->transport.isOpen() && (!target || rank(*connection) > rank(*target)))
             target = connection.get();
-    if (!target) return connectForQueuedEnds(server);
+    if (!target || target->isSuspect) connectForQueuedEnds(server);
+    if (!target) return;
     for (Server::QueuedEnd& end : server.queuedEnds) {
         if (end.sentOn) continue;
         target->transport.send(finishLine(end.tag));
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -111,6 +111,7 @@
     template <class IsUsable>
     Connection* connectionFor(Server&, IsUsable&&);
     Connection* openConnection(Server&);
+    bool hasLiveConnection(const Server&) const;
     void sendLine(Server&, const std::string& line);
     void sendUnsentJoins(Connection&);
     void withdrawUnsent(SubId, JoinResult, const char* why);
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -135,6 +135,28 @@
     EXPECT_TRUE(fixture.servers[0]->playing.empty());
 }
 
+// A media server that takes no more connections is not dead: refused connects end nothing while an open
+// connection brings notices. What is over at last is ended on the connection that stands.
+TEST(NodeServers, RefusedConnectsDoNotEndWhatALiveConnectionCarries) {
+    VirtualNodeFixture fixture(1);
+    fakes::PlatformServer& server = *fixture.servers[0];
+    fixture.request(1);
+    fixture.run(kSecond);
+    server.refuseConnections();
+    server.reaction = [](const std::string&) { return SetupReaction::NoAnswer; };
+    for (int n = 2; n <= 9; ++n) {  // tried again on connections of their own, which are refused
+        fixture.request(n);
+        fixture.run(kSecond);
+        server.sendNotice(idOf(1), "link_use", 0.4);
+    }
+    fixture.run(kSecond);
+    EXPECT_EQ(fixture.responses(1), "+");
+    EXPECT_EQ(server.playing.size(), 1u);
+    fixture.run(8 * kSecond);  // silent: taken for lost
+    EXPECT_EQ(fixture.responses(1), "+ 41");
+    EXPECT_TRUE(server.playing.empty());
+}
+
 // A queued end of the first attempt must not end the second with the same tag at the same server.
 TEST(NodeServers, EndOfAnEarlierAttemptDoesNotEndTheNext) {
     VirtualNodeFixture fixture(1);
