Tests: the property test judges paid set-ups and empty tables; waits are bounded

Cause, found on reading the change again: the property test collected paid viewers and never judged them; three waits for a second set-up had no bound, so a regression would have hung until the suite's time-out; the reaction to a first set-up stood five times, the wait for an answer twice.

Change, tests only: a paid set-up runs at most once; once all viewers have left, the node's tables, its given-up attempts and the media servers are empty. reactToFirstSetup, runUntilAnswered and runUntilSetUpTwice, each bounded to 2 s (runUntilAnswered had 3 s), serve old and new tests; no assertion is gone.

--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -21,6 +21,22 @@
     };
 }
 
+// Lets media server 0 react to the first set-up in one way and to all others in another.
+void reactToFirstSetup(VirtualNodeFixture& fixture, SetupReaction first,
+                       SetupReaction others = SetupReaction::Play) {
+    int setups = 0;
+    fixture.servers[0]->reaction = [=](const std::string&) mutable { return setups++ == 0 ? first : others; };
+}
+// Both run for two seconds at most and return whether it came to that.
+bool runUntilAnswered(VirtualNodeFixture& fixture, int n) {
+    for (int step = 0; step < 40 && fixture.responses(n).empty(); ++step) fixture.run(50'000);
+    return !fixture.responses(n).empty();
+}
+bool runUntilSetUpTwice(VirtualNodeFixture& fixture, int n) {
+    for (int step = 0; step < 200 && fixture.setupCount(n) < 2; ++step) fixture.run(10'000);
+    return fixture.setupCount(n) == 2;
+}
+
 // ================= joins that wait for a connection =================
 
 // Nothing is set up for a viewer that leaves while the connection is opening, even if others wait for it too.
@@ -160,10 +176,7 @@
 // A queued end of the first attempt must not end the second with the same tag at the same server.
 TEST(NodeServers, EndOfAnEarlierAttemptDoesNotEndTheNext) {
     VirtualNodeFixture fixture(1);
-    int setups = 0;
-    fixture.servers[0]->reaction = [&](const std::string&) {
-        return setups++ == 0 ? SetupReaction::Reset : SetupReaction::Play;
-    };
+    reactToFirstSetup(fixture, SetupReaction::Reset);
     fixture.request(1);
     fixture.run(3 * kSecond);
     EXPECT_EQ(fixture.responses(1), "+");
@@ -174,12 +187,9 @@
 // The same if the first attempt timed out and the connection that carried its end breaks later.
 TEST(NodeServers, ResentEndDoesNotEndTheNextAttempt) {
     VirtualNodeFixture fixture(1);
-    int setups = 0;
-    fixture.servers[0]->reaction = [&](const std::string&) {
-        return setups++ == 0 ? SetupReaction::NoAnswer : SetupReaction::Play;
-    };
+    reactToFirstSetup(fixture, SetupReaction::NoAnswer);
     fixture.request(1);
-    for (int step = 0; step < 40 && fixture.responses(1).empty(); ++step) fixture.run(50'000);
+    ASSERT_TRUE(runUntilAnswered(fixture, 1));
     ASSERT_EQ(fixture.responses(1), "+");
     ASSERT_EQ(fixture.setupCount(1), 2);
     fixture.servers[0]->resetConnections();
@@ -194,11 +204,6 @@
     int setups = 0;
     fixture.servers[0]->holdsOutput = [setups](const std::string&) mutable { return setups++ == 0; };
 }
-// Returns whether the viewer was answered.
-bool runUntilAnswered(VirtualNodeFixture& fixture, int n) {
-    for (int step = 0; step < 60 && fixture.responses(n).empty(); ++step) fixture.run(50'000);
-    return !fixture.responses(n).empty();
-}
 
 // An answer and a release that come late are taken for those of the next attempt: the viewer is told that it
 // is over, and the session of the next attempt is left standing.
@@ -206,7 +211,7 @@
     VirtualNodeFixture fixture(1);
     holdFirstSetup(fixture);
     fixture.request(1);
-    while (fixture.setupCount(1) < 2) fixture.run(10'000);
+    ASSERT_TRUE(runUntilSetUpTwice(fixture, 1));
     fixture.servers[0]->releaseOutput();
     fixture.run(2 * kSecond);
     EXPECT_EQ(fixture.responses(1), "+");
@@ -233,12 +238,9 @@
 TEST(NodeServers, LateRefusalOfAnEarlierAttemptDoesNotEndTheNext) {
     VirtualNodeFixture fixture(1);
     holdFirstSetup(fixture);
-    int setups = 0;
-    fixture.servers[0]->reaction = [&](const std::string&) {
-        return setups++ == 0 ? SetupReaction::RefuseFull : SetupReaction::NoAnswer;
-    };
+    reactToFirstSetup(fixture, SetupReaction::RefuseFull, SetupReaction::NoAnswer);
     fixture.request(1);
-    while (fixture.setupCount(1) < 2) fixture.run(10'000);
+    ASSERT_TRUE(runUntilSetUpTwice(fixture, 1));
     const int endsBefore = fixture.servers[0]->finishCount;
     fixture.servers[0]->releaseOutput();
     fixture.run(5 * kSecond);
@@ -286,10 +288,7 @@
 // A release that may belong to either attempt ends both: nothing is left standing.
 TEST(NodeServers, UnclearReleaseLeavesNothingStanding) {
     VirtualNodeFixture fixture(1);
-    int setups = 0;
-    fixture.servers[0]->reaction = [&](const std::string&) {
-        return setups++ == 0 ? SetupReaction::NoAnswer : SetupReaction::Play;
-    };
+    reactToFirstSetup(fixture, SetupReaction::NoAnswer);
     fixture.request(1);
     ASSERT_TRUE(runUntilAnswered(fixture, 1));
     ASSERT_EQ(fixture.responses(1), "+");
@@ -315,7 +314,7 @@
     other->close(true);
     fixture.run(10'000);
     fixture.request(1);
-    while (fixture.setupCount(1) < 2) fixture.run(10'000);
+    ASSERT_TRUE(runUntilSetUpTwice(fixture, 1));
     fixture.servers[0]->releaseOutput();
     fixture.run(2 * kSecond);
     EXPECT_EQ(fixture.responses(1), "+");
--- a/tests/servers_property_test.cpp
+++ b/tests/servers_property_test.cpp
@@ -67,6 +67,7 @@
     int viewers = 0;
     bool hasStalled = false;
     std::vector<SetupReaction> reactions[kServers];  // of the next set-ups
+    std::map<std::string, int> runs;                 // set-ups that media servers did not refuse, by tag
 
     DisruptedNode() {
         for (int i = 0; i < kServers; ++i) {
@@ -74,14 +75,19 @@
             server.setupTime = kSetupTime;
             server.repeatsReleases = true;
             server.confirmsOnSetupConnection = true;
-            server.reaction = [this, i](const std::string&) {
-                if (reactions[i].empty()) return SetupReaction::Play;
-                const SetupReaction next = reactions[i].back();
-                reactions[i].pop_back();
+            server.reaction = [this, i](const std::string& tag) {
+                const SetupReaction next = takeReaction(i);
+                runs[tag] += next != SetupReaction::RefuseFull;
                 return next;
             };
         }
     }
+    SetupReaction takeReaction(int server) {
+        if (reactions[server].empty()) return SetupReaction::Play;
+        const SetupReaction next = reactions[server].back();
+        reactions[server].pop_back();
+        return next;
+    }
     // The answer and the release of viewer n, as in NodeFixture::responses(); confirmations are left out.
     std::string told(int n) {
         auto& messages = fixture.messages[idOf(n)];
@@ -190,11 +196,20 @@
             RC_ASSERT(answers.find('+') == std::string::npos || answers.rfind('+') == 0u);
             RC_ASSERT(std::count(answers.begin(), answers.end(), ' ') <= (answers[0] == '+' ? 1 : 0));
             RC_ASSERT(playingCount(n) == (plays && !hasLeft ? 1 : 0));
+            RC_ASSERT(paid.count(n) == 0 || runs[idOf(n)] <= 1);
         }
         // A set-up on a path that delivers late may arrive after its end was sent elsewhere, with the next
         // one.
         for (const auto& each : fixture.servers) RC_ASSERT(hasStalled || each->overlappingSetupCount == 0);
     }
+    // Once all viewers have left, nothing of them may be kept.
+    void checkTables() {
+        for (int n = 1; n <= viewers; ++n) giveUp(n);
+        fixture.run(kSettlingTime);
+        RC_ASSERT(fixture.front->tableEntryCount() == 0u);
+        RC_ASSERT(fixture.front->givenUpAttemptCount() == 0u);
+        for (const auto& each : fixture.servers) RC_ASSERT(each->playing.empty());
+    }
 };
 
 // RC_PARAMS="seed=N max_success=M" draws M other cases.
@@ -207,6 +222,7 @@
             for (const Step& step : run) node.run(step);
             node.settle();
             node.check();
+            node.checkTables();
         }
     }));
 }
