Review case 9: an end is said on a connection that never brought anything

Cause: a connection counts as alive from its opening, so one on which the first set-up was never answered is not suspect, and the end that was written on it counts as delivered when it is closed as idle. Nothing else.

--- a/review/standin-2/rig.hpp
+++ b/review/standin-2/rig.hpp
@@ -186,7 +186,7 @@
 
 struct Connection final : Watched {
     int fd_;
-    bool connecting, reading = true;
+    bool connecting, reading = true, mute = false;
     std::string in, out;
     std::function<void(Connection&, std::string&)> onBytes;  // takes what it has used off the front
     std::function<void(Connection&)> onClosed;               // closed by the other side
@@ -208,6 +208,7 @@
         close();
     }
     void send(const std::string& bytes) {
+        if (mute) return;
         out += bytes;
         flush();
     }
@@ -292,6 +293,7 @@
     int cell = 0;
     Ms setupTime = 60;
     Ms noteEvery = 0;                 // notes of kind 3, on one session
+    int answersToLose = 0;            // of the next set-ups: it runs, and its connection is of no further use
     bool hung = false;                // reads nothing and says nothing; the kernel still accepts
     bool repeatHeardReleases = true;  // "also", as the page words it
     struct Session {
@@ -327,12 +329,12 @@
         });
     }
     void say(Connection& connection, const Json& what) {
-        record("%s -> front  %s", name.c_str(), shown(what).c_str());
+        if (!connection.mute) record("%s -> front  %s", name.c_str(), shown(what).c_str());
         connection.send(what.dump() + "\n");
     }
     ConnectionPtr anyOpen() {
         for (auto it = connections.rbegin(); it != connections.rend(); ++it)
-            if ((*it)->isOpen()) return *it;
+            if ((*it)->isOpen() && !(*it)->mute) return *it;
         return nullptr;
     }
     std::size_t openCount() const {
@@ -409,6 +411,14 @@
         if (!it->second.connection || !it->second.connection->isOpen()) return;
         it->second.stands = true;
         it->second.stoodAt = now();
+        if (answersToLose > 0) {
+            --answersToLose;
+            it->second.connection->reading = false;
+            it->second.connection->mute = true;
+            record(
+                "%s: session %s stands; its answer never arrives, its connection stays open and is of no use",
+                name.c_str(), tag.c_str());
+        }
         Json answer = message("STARTED", tag);
         answer["blob"] = "made by " + name + " for " + tag;
         say(*it->second.connection, answer);
