--- a/review/standin-2/rig.hpp
+++ b/review/standin-2/rig.hpp
@@ -785,8 +785,14 @@
 
 inline int runCase(const std::function<Verdict()>& play) {
     ::signal(SIGPIPE, SIG_IGN);
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with run.sh, however that ends
+    ::alarm(110);
     const char* path = std::getenv("CASE_RECORD");
     recordFile = std::fopen(path ? path : "record.txt", "w");
+    if (!recordFile) {
+        std::printf("cannot write the record\nCOULD NOT RUN\n");
+        return kCouldNotRun;
+    }
     Verdict verdict = kCouldNotRun;
     try {
         verdict = play();
