Node: a session that ends before it is handed over is released to its viewer

Cause: the media server's release arrives on the connection that the first hand-overs open; the id is unknown then, so Servers confirmed the release and dropped it, and took the hand-over for a session that plays. Evidence: the record of the case has the release and its confirmation before the hand-over, and nothing after it.

--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -159,6 +159,7 @@
     : net_(net),
       limits_(limits),
       handler_(handler),
+      unclaimedReleases_(UnclaimedReleases::Limits{}),
       deferredTimer_(net,
                      [this] {
                          std::deque<DeferredOutcome> outcomes;
@@ -618,6 +619,10 @@
     byTag_[session.tag] = id;
     if (server->playing.empty()) server->lastReceivedAt = net_.now();
     server->playing.insert(id);
+    if (const auto release = unclaimedReleases_.take(session.tag, serverId)) {
+        handler_.onPlaybackEnded(id, resultOfPlayback(release->cause), release->cause, release->load);
+        forget(id);
+    }
 }
 
 void Servers::forget(SubId id) {
@@ -648,14 +653,21 @@
         ++counts_.aboutEarlierAttempts;
         return reportAnomaly_("about an attempt that was given up", formatMessage(message));
     }
-    if (!isOut) {  // a duplicate, an ended subscription, or a tag never sent to this server
-        ++counts_.unknown;
-        return reportAnomaly_("about no subscription held there", formatMessage(message));
-    }
+    if (!isOut) return onUnknownTag(server, message);
     if (it->second.isPlaying) return onSessionMessage(it->first, it->second, message);
     onJoinMessage(it->first, it->second, server, message);
 }
 
+// About a duplicate, an ended subscription, one that is still to be handed over, or a tag never sent to this
+// server. A release is confirmed, so it does not come again: it is kept for a hand-over that follows it.
+void Servers::onUnknownTag(Server& server, const Message& message) {
+    ++counts_.unknown;
+    if (message.verb == "FINISH" && !byTag_.count(message.tag) && isValidTag(message.tag))
+        unclaimedReleases_.add(message.tag,
+                               {server.id, message.cause.value_or(0), parseLoadReport(message), net_.now()});
+    reportAnomaly_("about no subscription held there", formatMessage(message));
+}
+
 // Confirms a release or refusal, and removes the queued end that it answers.
 void Servers::onFinish(Connection& connection, const Message& message, MessageSubject subject) {
     Message reply;
@@ -788,6 +800,7 @@
 void Servers::cleanUp() {
     cleanupTimer_.after(kCleanupInterval);
     const Micros now = net_.now();
+    unclaimedReleases_.expire(now);
     std::vector<SfuId> ids;
     for (const auto& [id, server] : servers_) ids.push_back(id);
     for (const SfuId id : ids) {
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -18,6 +18,7 @@
 #include "node/attempt_history.hpp"
 #include "node/line_connection.hpp"
 #include "node/message.hpp"
+#include "node/unclaimed_releases.hpp"
 
 namespace valekeel::node {
 
@@ -83,7 +84,9 @@
     void onRestarted(SfuId, Micros launched);
     bool isKnown(SfuId id) const { return servers_.count(id) > 0; }
 
-    void adopt(SubId, SfuId);       // a subscription that already plays there
+    // Takes over a subscription that already plays there. If its release has arrived before, reports that to
+    // the handler before it returns.
+    void adopt(SubId, SfuId);
     void setRung(SubId, int rung);  // of a playing subscription
     void endPlayback(SubId);        // ServersHandler::onPlaybackEnded() follows when the server confirms
     void forget(SubId);             // the core no longer holds it
@@ -100,6 +103,7 @@
     std::size_t pendingJoinCount() const;
     std::size_t queuedEndCount() const;       // ends to be sent or confirmed
     std::size_t givenUpAttemptCount() const;  // set-ups with attempts that may still report
+    std::size_t unclaimedReleaseCount() const { return unclaimedReleases_.size(); }
     const ServerCounts& counts() const { return counts_; }
 
   private:
@@ -122,6 +126,7 @@
     void connectForQueuedEnds(Server&);
     void onMessage(Connection&, const Message&);
     void onFinish(Connection&, const Message&, MessageSubject);
+    void onUnknownTag(Server&, const Message&);
     void onJoinMessage(SubId, Session&, Server&, const Message&);
     void onSessionMessage(SubId, Session&, const Message&);
     void onConnectionClosed(Connection&, DisconnectReason);
@@ -145,6 +150,7 @@
     std::map<SfuId, std::unique_ptr<Server>> servers_;
     std::map<SubId, Session> sessions_;
     std::map<std::string, SubId, std::less<>> byTag_;
+    UnclaimedReleases unclaimedReleases_;
     // An outcome that is reported in the next turn, as join() must not call the core.
     struct DeferredOutcome {
         SubId id;
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -410,6 +410,37 @@
     EXPECT_EQ(core.subscriptionCount(), 0u);
 }
 
+// ================= sessions that are handed over =================
+
+void handOver(VirtualNodeFixture& fixture, int n) {
+    Json message = VirtualNodeFixture::startMessage(n);
+    message["opts"]["extras"] = "home:0;copies:3;top:2;at:s-00000000";
+    fixture.viewer->send(message);
+}
+
+// A session ends just before it is handed over: its release comes on the connection that is opened for the
+// first ones. The release is forgotten, and the session is taken for one that plays.
+TEST(NodeServers, ReleaseThatArrivesBeforeTheHandoverReachesTheViewer) {
+    for (const int cause : {16, 41}) {
+        VirtualNodeFixture fixture(1);
+        fixture.servers[0]->repeatsReleases = true;
+        for (int n = 1; n <= 3; ++n) fixture.servers[0]->playing.insert(idOf(n));
+        fixture.servers[0]->end(idOf(2), cause);  // no connection is open
+        handOver(fixture, 1);
+        fixture.run(500'000);
+        ASSERT_EQ(fixture.servers[0]->connectionCount, 1);
+        handOver(fixture, 2);
+        handOver(fixture, 3);
+        fixture.run(kSecond);
+        EXPECT_EQ(fixture.responses(1), "");
+        EXPECT_EQ(fixture.responses(2), std::to_string(cause));
+        EXPECT_EQ(fixture.responses(3), "");
+        fixture.servers[0]->end(idOf(3), 16);
+        fixture.run(kSecond);
+        EXPECT_EQ(fixture.responses(3), "16");
+    }
+}
+
 // ================= limits =================
 
 // Has a set-up for every subscription.
