Node: a loss is noticed, and every end heard of, at the limit of connections

Cause: a loss is found only by a new connection that does not come up, and at the limit none was opened; the probe that was never made still counted. Evidence: looked_for grows in the status line, found_gone stays 0, links stands at the limit. Change: a new connection takes the place of the least needed one, never of one with an unanswered set-up or an end that may not have arrived; media servers that play without a connection get one in turn, which the protocol allows, as a session belongs to no connection; a probe counts only if it was made.

--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -1,6 +1,7 @@
 #include "node/servers.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace valekeel::node {
 namespace {
@@ -43,6 +44,7 @@
 // A message received this long after a FINISH was sent on the same connection shows that it was read.
 constexpr Micros kEndDeliveredAfter = 2 * kSecond;
 constexpr Micros kMaxConnectBackoff = 2 * kSecond;
+constexpr std::ptrdiff_t kMaxProbesAtLimit = 2;  // connects under way to one server
 
 }  // namespace
 
@@ -251,8 +253,11 @@
 
 // ================= connections =================
 
+// At the limit another connection is closed for it. Returns null if none can be spared.
 Servers::Connection* Servers::openConnection(Server& server) {
-    if (openConnections_ >= limits_.maxConnections) return nullptr;
+    if (isAtConnectionLimit()) closeLeastNeededConnection();
+    // Checked again: an end that was sent on the closed one may have opened the next at once.
+    if (isAtConnectionLimit()) return nullptr;
     ++openConnections_;
     server.connections.push_back(std::make_unique<Connection>(
         *this, server, ++newestConnection_, server.endpoint,
@@ -260,6 +265,41 @@
     return server.connections.back().get();
 }
 
+bool Servers::hasUndeliveredEnd(const Connection& connection) const {
+    const auto& ends = connection.server->queuedEnds;
+    return std::any_of(ends.begin(), ends.end(),
+                       [&](const Server::QueuedEnd& end) { return end.sentOn == &connection; });
+}
+
+// Closes a connection that carries nothing now: best a suspect one, else one that its server can do without,
+// else the one that has been open the longest. A playing subscription needs no connection of its own: its
+// media server reports what is due on the next one that opens (probe()). Returns false if none can be closed.
+bool Servers::closeLeastNeededConnection() {
+    const Micros now = net_.now();
+    const auto isSpare = [](const Connection& connection) {
+        const Server& server = *connection.server;
+        return server.playing.empty() ||
+               std::count_if(server.connections.begin(), server.connections.end(), [](const auto& other) {
+                   return other->transport.isOpen() && !other->isSuspect;
+               }) > 1;
+    };
+    const auto rank = [&](const Connection& connection) {
+        return std::tuple(connection.isSuspect, isSpare(connection), now - connection.openedAt);
+    };
+    Connection* least = nullptr;
+    for (const auto& [id, server] : servers_)
+        for (const auto& connection : server->connections) {
+            if (!connection->transport.isOpen() || !connection->pendingJoins.empty()) continue;
+            if (!connection->isSuspect &&
+                (now - connection->openedAt < limits_.minOpenTime || hasUndeliveredEnd(*connection)))
+                continue;
+            if (!least || rank(*connection) > rank(*least)) least = connection.get();
+        }
+    if (!least) return false;
+    closeConnection(*least);
+    return true;
+}
+
 // Returns the best of the usable connections, else a new one; null if there are too many.
 template <class IsUsable>
 Servers::Connection* Servers::connectionFor(Server& server, IsUsable&& isUsable) {
@@ -302,6 +342,7 @@
 }
 
 void Servers::closeConnection(Connection& connection) {
+    if (!connection.server) return;  // closed meanwhile, to make room for another
     connection.transport.close();
     onConnectionClosed(connection, DisconnectReason::Closed);
 }
@@ -573,8 +614,7 @@
     for (const auto& connection : server.connections)
         if (connection->transport.isOpen() && (!target || rank(*connection) > rank(*target)))
             target = connection.get();
-    if (!target || target->isSuspect) connectForQueuedEnds(server);
-    if (!target) return;
+    if (!target) return connectForQueuedEnds(server);
     for (Server::QueuedEnd& end : server.queuedEnds) {
         if (end.sentOn) continue;
         target->transport.send(finishLine(end.tag));
@@ -582,6 +622,8 @@
         end.sentOn = target;
         end.sentAt = net_.now();
     }
+    // Last, as it may close the suspect connection to make room.
+    if (target->isSuspect) connectForQueuedEnds(server);
 }
 
 // Opens a connection for queued ends, with a backoff that doubles while none opens.
@@ -767,12 +809,17 @@
 // played is over. So a server that plays for this front and is silent, or has no open connection, is probed
 // with new connections, one after another; if none opens within limits_.lostAfter, the server counts as lost.
 // The connect timeout of set-ups is no measure of that: some connections open late, and a few never do.
+// At the limit of connections, servers that have none are connected to in turn, as their releases arrive only
+// on a connection.
 void Servers::probe(Server& server) {
     const Micros now = net_.now();
     if (server.playing.empty() || now < server.nextProbeAt) return;
     const auto connecting = std::count_if(server.connections.begin(), server.connections.end(),
                                           [](const auto& connection) { return connection->isConnecting(); });
-    if (connecting > limits_.probeConnectTimeout / limits_.probeInterval) return;
+    const bool isAtLimit = isAtConnectionLimit();
+    if (connecting >=
+        (isAtLimit ? kMaxProbesAtLimit : limits_.probeConnectTimeout / limits_.probeInterval + 1))
+        return;
     const bool isSilent = now - server.lastReceivedAt > limits_.silenceTimeout;
     const bool hasNoConnection = std::none_of(
         server.connections.begin(), server.connections.end(),
@@ -780,10 +827,12 @@
     if (!isSilent && !hasNoConnection) return;
     if (isSilent)
         for (const auto& connection : server.connections) connection->isSuspect = true;
+    else if (isAtLimit && now - server.lastReceivedAt < limits_.revisitInterval)
+        return;
+    if (!openConnection(server)) return;  // nothing is tested, so this must not count towards a loss
     ++counts_.probes;
     if (server.probingSince == 0) server.probingSince = now;
     server.nextProbeAt = now + limits_.probeInterval;
-    openConnection(server);
 }
 
 // Removes the ends that were read, and those that nobody has confirmed for too long.
@@ -801,9 +850,11 @@
     cleanupTimer_.after(kCleanupInterval);
     const Micros now = net_.now();
     unclaimedReleases_.expire(now);
-    std::vector<SfuId> ids;
-    for (const auto& [id, server] : servers_) ids.push_back(id);
-    for (const SfuId id : ids) {
+    // The server not heard for the longest comes first, as connections may not suffice for all.
+    std::vector<std::pair<Micros, SfuId>> ids;
+    for (const auto& [id, server] : servers_) ids.emplace_back(server->lastReceivedAt, id);
+    std::sort(ids.begin(), ids.end());
+    for (const auto& [lastReceivedAt, id] : ids) {
         Server* server = find(id);
         if (!server) continue;
         probe(*server);
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -33,6 +33,9 @@
     Micros probeInterval = 400'000;           // between other probes
     Micros probeConnectTimeout = 1'200'000;   // connections may open this late without a loss
     Micros lostAfter = 2'500'000;             // of failed probes; then the server counts as lost
+    // At the limit of connections, servers with playing subscriptions share them in turn.
+    Micros minOpenTime = 500'000;             // a connection is kept open for: what is due arrives at once
+    Micros revisitInterval = 3'000'000;       // a server without a connection is connected to again after
     std::size_t maxUnsentBytes = 256 * 1024;  // per connection
     Micros lineTimeout = 400'000;             // how long a line may stay incomplete
     std::size_t maxQueuedEnds = 512;          // per server; the oldest sent ones are dropped first
@@ -115,6 +118,9 @@
     template <class IsUsable>
     Connection* connectionFor(Server&, IsUsable&&);
     Connection* openConnection(Server&);
+    bool closeLeastNeededConnection();
+    bool hasUndeliveredEnd(const Connection&) const;
+    bool isAtConnectionLimit() const { return openConnections_ >= limits_.maxConnections; }
     bool hasLiveConnection(const Server&) const;
     void sendLine(Server&, const std::string& line);
     void sendUnsentJoins(Connection&);
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -446,14 +446,90 @@
 // Has a set-up for every subscription.
 struct AnySetupHandler : node::ServersHandler {
     node::SetupRequest request{"", "talk", "t", "offer"};
+    std::set<std::uint32_t> ended;  // the subscriptions whose playback has ended
     const node::SetupRequest* findSetupRequest(SubId id) override {
         request.tag = idOf(static_cast<int>(id.v));
         return &request;
     }
     void onAnswer(SubId, const std::string&) override {}
-    void onPlaybackEnded(SubId, JoinResult, int, const LoadReport&) override {}
+    void onPlaybackEnded(SubId id, JoinResult, int, const LoadReport&) override { ended.insert(id.v); }
+};
+
+// A front that holds one session, with the number of the server, at each of several media servers, more of
+// them than it may have connections.
+struct FewConnections {
+    static constexpr std::size_t kLimit = 4;
+    VirtualMachines machines;
+    std::vector<std::unique_ptr<fakes::PlatformServer>> mediaServers;
+    AnySetupHandler handler;
+    std::unique_ptr<node::Servers> servers;
+    std::size_t mostConnections = 0;
+    explicit FewConnections(std::uint32_t count) {
+        node::ServerLimits limits;
+        limits.maxConnections = kLimit;
+        servers = std::make_unique<node::Servers>(machines.machine(20), limits, handler);
+        for (std::uint32_t i = 0; i < count; ++i) {
+            const int number = static_cast<int>(i);
+            mediaServers.push_back(std::make_unique<fakes::PlatformServer>(machines.machine(number),
+                                                                           VirtualMachines::place(number)));
+            mediaServers.back()->repeatsReleases = true;
+            mediaServers.back()->playing.insert(idOf(number));
+            servers->setAddress(SfuId{i}, mediaServers.back()->endpoint());
+            servers->adopt(SubId{i}, SfuId{i});
+        }
+    }
+    void run(Micros time) {
+        for (Micros done = 0; done < time; done += 50'000) {
+            machines.run(50'000);
+            mostConnections = std::max(mostConnections, servers->connectionCount());
+        }
+    }
 };
 
+// Machines vanish while all connections to media servers are in use: their loss is never noticed, as no
+// connection can be opened to probe them.
+TEST(NodeServers, VanishedServersAreNoticedAtTheConnectionLimit) {
+    FewConnections front(FewConnections::kLimit);
+    front.run(3 * kSecond);
+    ASSERT_EQ(front.servers->connectionCount(), FewConnections::kLimit);
+    for (const int vanished : {0, 2}) front.machines.nodes[vanished]->pause();
+    front.run(8 * kSecond);
+    EXPECT_EQ(front.handler.ended, (std::set<std::uint32_t>{0, 2}));
+    EXPECT_LE(front.mostConnections, FewConnections::kLimit);
+}
+
+// Sessions at more media servers than there may be connections: the release of one without a connection never
+// arrives.
+TEST(NodeServers, ReleasesArriveFromMoreServersThanConnections) {
+    constexpr std::uint32_t kServers = 3 * FewConnections::kLimit;
+    FewConnections front(kServers);
+    front.run(5 * kSecond);
+    EXPECT_TRUE(front.handler.ended.empty());
+    std::set<std::uint32_t> all;
+    for (std::uint32_t i = 0; i < kServers; ++i) {
+        front.mediaServers[i]->end(idOf(static_cast<int>(i)), 16);
+        all.insert(i);
+    }
+    front.run(8 * kSecond);
+    EXPECT_EQ(front.handler.ended, all);
+    EXPECT_LE(front.mostConnections, FewConnections::kLimit);
+}
+
+// The connection of an unanswered set-up is closed to make room: nobody knows then whether it ran.
+TEST(NodeServers, ConnectionOfAnUnansweredSetupIsNotClosedToMakeRoom) {
+    FewConnections front(3 * FewConnections::kLimit);
+    front.run(kSecond);
+    for (std::uint32_t i = 0; i + 1 < FewConnections::kLimit; ++i) {
+        front.mediaServers[i]->setupTime = 20 * kSecond;
+        front.servers->join(SubId{100 + i}, 0, SfuId{i}, 0, 15 * kSecond, true);
+    }
+    front.run(8 * kSecond);
+    EXPECT_EQ(front.servers->pendingJoinCount(), FewConnections::kLimit - 1);
+    for (std::uint32_t i = 0; i + 1 < FewConnections::kLimit; ++i)
+        EXPECT_EQ(front.mediaServers[i]->setups.size(), 1u) << i;
+    EXPECT_LE(front.mostConnections, FewConnections::kLimit);
+}
+
 // Guards against unbounded memory use and against hundreds of fronts that reconnect to a dead server all the
 // time.
 TEST(NodeServers, QueuedEndsForADeadServerAreBounded) {
