Timers: one that sets itself again waits for the next round of the event loop

Cause: where the present is a whole number of ticks, the wheel returned a timer that was set for the present from its own callback in the same pass; a connection that always has input then keeps the process in one pass, and no socket is polled. Evidence: strace shows recvfrom alone, no epoll_wait; the wheel by itself repeats the timer at an offset of 0 us only. Change: such a timer is due in the next tick.

--- a/src/net/timer_wheel.cpp
+++ b/src/net/timer_wheel.cpp
@@ -37,7 +37,7 @@
 void TimerWheel::add(TimerNode& node, Micros at) {
     if (node.linked()) remove(node);
     node.at = std::max<Micros>(at, 0);
-    place(node);
+    place(node, tick_ + 1);
     ++size_;
 }
 
@@ -47,8 +47,8 @@
     --size_;
 }
 
-void TimerWheel::place(TimerNode& node) {
-    const std::uint64_t tick = std::max(ceilToTick(node.at), tick_);
+void TimerWheel::place(TimerNode& node, std::uint64_t earliestTick) {
+    const std::uint64_t tick = std::max(ceilToTick(node.at), earliestTick);
     if (tick == tick_) {
         append(ready_, node);
         return;
@@ -112,7 +112,7 @@
         while (pending.next != &pending) {
             TimerNode& node = *pending.next;
             unlink(node);
-            place(node);
+            place(node, tick_);
         }
     }
     // Without timers the wheel can advance to the present, so that short timers stay on the low levels.
--- a/src/net/timer_wheel.hpp
+++ b/src/net/timer_wheel.hpp
@@ -28,7 +28,9 @@
     TimerWheel& operator=(const TimerWheel&) = delete;
     ~TimerWheel();
 
-    void add(TimerNode&, Micros at);  // moves a timer that is already pending
+    // Moves a timer that is already pending. A timer that is added while those of its tick are being returned
+    // is due in the next tick: otherwise one that adds itself again would keep popDue() busy for ever.
+    void add(TimerNode&, Micros at);
     void remove(TimerNode&);          // does nothing if the timer is not pending
 
     // When to call popDue() next: not after the tick of the earliest timer, possibly before it. Empty if no
@@ -52,7 +54,7 @@
     static std::uint64_t ceilToTick(Micros at) {
         return static_cast<std::uint64_t>(at + (1 << kTickShift) - 1) >> kTickShift;
     }
-    void place(TimerNode&);
+    void place(TimerNode&, std::uint64_t earliestTick);
     static void append(TimerNode& head, TimerNode& node);
     static void unlink(TimerNode& node);
     struct Slot {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -61,6 +61,28 @@
     }
 }
 
+// A timer that sets itself again for the present keeps the event loop in one pass over its timers, and no
+// socket is polled meanwhile. Seen at times that are a whole number of ticks.
+TEST(TimerWheel, TimerThatIsAddedAgainFromItsCallbackWaitsForTheNextPass) {
+    for (const Micros offset : {0, 1, 512, 1023}) {
+        const Micros now = 1'024'000 + offset;
+        net::TimerWheel wheel(now - 50'000);
+        net::TimerNode repeating, other;
+        wheel.add(repeating, now - 20'000);
+        wheel.add(other, now);
+        int firings = 0;
+        bool hasOtherFired = false;
+        while (net::TimerNode* due = wheel.popDue(now)) {
+            hasOtherFired |= due == &other;
+            if (due != &repeating) continue;
+            ASSERT_LT(++firings, 10) << offset;
+            wheel.add(repeating, now);
+        }
+        EXPECT_EQ(hasOtherFired, offset == 0);  // else it is due in the next tick
+        ASSERT_NE(wheel.popDue(now + 1'024), nullptr);
+    }
+}
+
 TEST(TimerWheel, TimersOfOneTickFireInOrderAdded) {
     std::vector<net::TimerNode> nodes(5);
     net::TimerWheel wheel(0);
