Event loop: connections with much input take turns, on the node, HTTP and SIP over TCP

Cause: HTTP and SIP streams handled input until none was left; the node had a limit for a connection, none for all, and counted bytes alone. Change: net::TurnQueue: 16 KiB of work in a turn, a message more than its bytes, 128 KiB for all that wait in a round; 64 connections accepted in a round; no time limit runs out while input waits here.

--- a/src/frontends/sip/sip_frontend.cpp
+++ b/src/frontends/sip/sip_frontend.cpp
@@ -7,6 +7,9 @@
 namespace valekeel::frontends {
 namespace {
 
+constexpr std::size_t kStreamReadBytes = 4 * 1024;  // at once
+// Parsing and answering a message, in the bytes that are handled in the same time.
+constexpr std::size_t kWorkPerSipMessage = 4 * net::TurnQueue::kWorkPerMessage;
 constexpr const char* kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS, UPDATE";
 
 // FNV-1a with a final mix. Retransmissions of a request hash to the same value.
@@ -109,25 +112,14 @@
           stream_(std::move(s)),
           route_{true, key, stream_->peer()},
           framer_(frontend.settings_.limits.bytes),
-          idleTimer_(frontend.net_, [this] { close(); }) {
+          idleTimer_(frontend.net_, [this] { close(); }),
+          turn_(frontend.turns_, [this] { return read(); }) {
         stream_->setHandler(*this);
         idleTimer_.after(frontend.settings_.streamIdleTimeout);
     }
+    // A stream whose last turn left input waits for its next one.
     void onReadable() override {
-        std::array<char, 16'384> buffer;
-        while (stream_) {
-            const net::IoResult result = stream_->read(buffer);
-            if (result.bytes > 0) {
-                idleTimer_.after(frontend_.settings_.streamIdleTimeout);
-                bool good = framer_.feed(std::string_view(buffer.data(), result.bytes));
-                while (const auto message = framer_.next()) frontend_.onMessage(*message, route_);
-                good = good && framer_.feed("");
-                if (!good) return close();
-                continue;
-            }
-            if (result.status == net::IoResult::Status::WouldBlock) return;
-            return close();
-        }
+        if (!turn_.isWaiting()) read();
     }
     void onWritable() override { flush(); }
     void send(const std::string& bytes) {
@@ -140,6 +132,7 @@
         if (!stream_) return;
         stream_.reset();
         idleTimer_.cancel();
+        turn_.cancel();
         const auto it = frontend_.streams_.find(route_.connection);
         if (it == frontend_.streams_.end()) return;
         frontend_.retiredStreams_.push_back(std::move(it->second));
@@ -148,6 +141,30 @@
     }
 
   private:
+    // Handles the input of one turn, and waits for the next if more may be left. Returns the work done.
+    std::size_t read() {
+        std::size_t work = 0;
+        std::array<char, kStreamReadBytes> buffer;
+        while (stream_ && work < net::TurnQueue::kWorkPerTurn) {
+            const net::IoResult result = stream_->read(buffer);
+            if (result.status == net::IoResult::Status::WouldBlock) return work;
+            if (result.bytes == 0) {
+                close();
+                return work;
+            }
+            idleTimer_.after(frontend_.settings_.streamIdleTimeout);
+            work += result.bytes;
+            bool good = framer_.feed(std::string_view(buffer.data(), result.bytes));
+            while (const auto message = framer_.next()) {
+                frontend_.onMessage(*message, route_);
+                work += kWorkPerSipMessage;
+            }
+            good = good && framer_.feed("");
+            if (!good) close();
+        }
+        if (stream_) turn_.wait();
+        return work;
+    }
     void flush() {
         if (!stream_ || sendBuffer_.empty()) return;
         const net::IoResult result = stream_->write(sendBuffer_);
@@ -160,6 +177,7 @@
     sip::Framer framer_;
     std::string sendBuffer_;
     net::Timer idleTimer_;
+    net::TurnQueue::Member turn_;
 };
 
 // Asks the media server whether it still holds the subscription of a call.
@@ -206,6 +224,7 @@
       transactions_(net_, settings.times, settings.transactions, *this),
       overload_(settings.overload),
       refusedRequests_(settings.maxRememberedRefusals),
+      turns_(net_),
       cleanupTimer_(net_,
                     [this] {
                         retiredStreams_.clear();
--- a/src/frontends/sip/sip_frontend.hpp
+++ b/src/frontends/sip/sip_frontend.hpp
@@ -18,6 +18,7 @@
 
 #include "frontends/frontend_context.hpp"
 #include "logging/trace_context.hpp"
+#include "net/turn_queue.hpp"
 #include "sip/overload.hpp"
 #include "sip/prefilter.hpp"
 #include "sip/transactions.hpp"
@@ -122,6 +123,7 @@
     sip::RefusedRequests refusedRequests_;
     std::unique_ptr<net::DatagramSocket> datagrams_;
     std::unique_ptr<net::Listener> listener_;
+    net::TurnQueue turns_;  // of streams with more input than one turn handles
     std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
     std::vector<std::unique_ptr<Stream>> retiredStreams_;
     std::uint64_t nextStreamId_ = 1;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16'384;
+constexpr Micros kTurnWaitRecheck = 10'000;
+// Parsing, answering and logging a request, in the bytes that are handled in the same time.
+constexpr std::size_t kWorkPerRequest = 4 * net::TurnQueue::kWorkPerMessage;
 
 std::string serializeHead(int status, const Fields& fields, std::optional<std::uint64_t> length,
                           bool keepAlive) {
@@ -39,7 +42,8 @@
           key(key),
           peer_(stream->peer()),
           stream_(std::move(stream)),
-          timeout_(server.net_, [this] { onTimeout(); }) {
+          timeout_(server.net_, [this] { onTimeout(); }),
+          turn_(server.turns_, [this] { return process(); }) {
         stream_->setHandler(*this);
         startRequest();
         timeout_.after(server_.limits_.idleTimeout);
@@ -49,12 +53,12 @@
 
     void onReadable() override {
         mayRead_ = true;
-        process();
+        processUnlessWaiting();
     }
     void onWritable() override {
         if (isClosed()) return;
         flush();
-        if (!isClosed()) process();
+        processUnlessWaiting();
     }
 
     // ---- Exchange ----
@@ -109,7 +113,7 @@
         state_ = State::Done;
         exchangeHandler_ = nullptr;
         flush();
-        if (!isClosed()) process();
+        processUnlessWaiting();
     }
     std::size_t unsent() const override { return out_.size() - sent_; }
     void abort() override {
@@ -147,19 +151,28 @@
         keepAlive_ = parser_->keepsConnection() && !server_.shuttingDown_ && !peerEnded_;
     }
 
-    // Processes buffered input as far as possible. Calls from within itself, such as by a handler that
-    // responds at once, only set `repeat_`.
-    void process() {
+    void processUnlessWaiting() {
+        if (!turn_.isWaiting()) process();
+    }
+
+    // Processes buffered input as far as one turn allows, and waits for the next turn if more is left. Calls
+    // from within itself, such as by a handler that responds at once, only set `repeat_`. Returns the work
+    // that was done.
+    std::size_t process() {
+        if (isClosed()) return 0;
         if (processing_) {
             repeat_ = true;
-            return;
+            return 0;
         }
         processing_ = true;
+        work_ = 0;
         do {
             repeat_ = false;
             processOnce();
-        } while (repeat_ && !isClosed());
+        } while (repeat_ && !isClosed() && work_ < net::TurnQueue::kWorkPerTurn);
         processing_ = false;
+        if (repeat_ && !isClosed()) turn_.wait();
+        return work_;
     }
 
     void processOnce() {
@@ -193,6 +206,7 @@
         if (parser_->isDone()) {
             state_ = State::Pending;
             timeout_.cancel();
+            work_ += kWorkPerRequest;
             server_.handler_.onRequest(*this);
             if (!isClosed() && state_ == State::Done) repeat_ = true;
             return;
@@ -222,6 +236,7 @@
             std::array<char, kReadBytes> buffer;
             const net::IoResult received = stream_->read(buffer);
             in_.append(buffer.data(), received.bytes);
+            work_ += received.bytes;
             if (received.status == net::IoResult::Status::Ready) {
                 if (state_ == State::Reading) return;
                 continue;
@@ -271,6 +286,10 @@
 
     void onTimeout() {
         if (isClosed()) return;
+        if (turn_.isWaiting()) {  // its input is there, but unread
+            timeout_.after(kTurnWaitRecheck);
+            return;
+        }
         if (state_ == State::Reading && requestStarted_) {
             reject(408, "the request was not whole in time");
             process();
@@ -283,6 +302,7 @@
     void close() {
         if (isClosed()) return;
         timeout_.cancel();
+        turn_.cancel();
         stream_.reset();
         if (ExchangeHandler* handler = std::exchange(exchangeHandler_, nullptr)) handler->onConnectionLost();
         state_ = State::Done;
@@ -298,6 +318,8 @@
     net::Endpoint peer_;
     std::unique_ptr<net::Stream> stream_;
     net::Timer timeout_;
+    net::TurnQueue::Member turn_;
+    std::size_t work_ = 0;  // in this turn
     std::unique_ptr<Parser> parser_;
     std::string in_, out_, body_;
     std::size_t sent_ = 0;
@@ -308,7 +330,9 @@
 };
 
 Server::Server(net::Net& net, const net::Endpoint& endpoint, const HttpLimits& limits, Handler& handler)
-    : net_(net), limits_(limits), handler_(handler), deletion_(net, [this] { closed_.clear(); }) {
+    : net_(net), limits_(limits), handler_(handler), turns_(net), deletion_(net, [this] {
+          closed_.clear();
+      }) {
     listener_ = net_.listen(endpoint, *this);
     endpoint_ = listener_->endpoint();
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -10,6 +10,7 @@
 
 #include "http/message.hpp"
 #include "net/net.hpp"
+#include "net/turn_queue.hpp"
 
 namespace valekeel::http {
 
@@ -79,6 +80,7 @@
     HttpLimits limits_;
     Handler& handler_;
     net::Endpoint endpoint_;
+    net::TurnQueue turns_;  // of connections with more input than one turn handles
     std::unique_ptr<net::Listener> listener_;
     std::map<std::uint64_t, std::unique_ptr<ServerConnection>> open_;
     std::vector<std::unique_ptr<ServerConnection>> closed_;  // deleted by deletion_: they may be on the stack
--- a/src/net/epoll.cpp
+++ b/src/net/epoll.cpp
@@ -15,6 +15,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <limits>
 #include <stdexcept>
 
 namespace valekeel::net {
@@ -191,7 +192,7 @@
 class EpollListener final : public Listener, private EpollNet::Handler {
   public:
     EpollListener(EpollNet& net, const Endpoint& endpoint, ListenerHandler& handler)
-        : net_(net), handler_(handler), retry_(net, [this] { acceptAll(); }) {
+        : net_(net), handler_(handler), retry_(net, [this] { accept(kMaxAcceptsPerRound); }) {
         const auto fail = [&](const char* action) {
             const std::string message =
                 std::string(action) + " " + toString(endpoint) + ": " + std::strerror(errno);
@@ -215,16 +216,19 @@
         ::close(fd_);
     }
     Endpoint endpoint() const override { return endpoint_; }
-    void acceptPending() override { acceptAll(); }
+    void acceptPending() override { accept(std::numeric_limits<int>::max()); }
 
   private:
-    void onEvents(std::uint32_t) override { acceptAll(); }
-    // Accepts until EAGAIN, since no further edge is signalled for connections that are already queued.
-    // Without free descriptors they stay in the kernel's queue and are retried after kAcceptRetryDelay.
-    void acceptAll() {
+    // A limit, so that clients that connect all the time can't starve timers and other sockets.
+    static constexpr int kMaxAcceptsPerRound = 64;
+    void onEvents(std::uint32_t) override { accept(kMaxAcceptsPerRound); }
+    // Accepts until EAGAIN, since no further edge is signalled for connections that are already queued, or
+    // continues in the next round. Without free descriptors they stay in the kernel's queue and are retried
+    // after kAcceptRetryDelay.
+    void accept(int maxCount) {
         const std::uint64_t token = token_;
         EpollNet& net = net_;
-        for (;;) {
+        for (; maxCount > 0; --maxCount) {
             sockaddr_storage raw{};
             socklen_t size = sizeof raw;
             const int fd =
@@ -238,6 +242,7 @@
             handler_.onAccepted(std::make_unique<EpollStream>(net_, fd, fromSockaddr(raw), false, nullptr));
             if (net.slots_[token & 0xffffffff].generation != token >> 32) return;
         }
+        net.unfinished_.push_back(token);
     }
 
     EpollNet& net_;
--- a/src/net/timer_wheel.hpp
+++ b/src/net/timer_wheel.hpp
@@ -31,7 +31,7 @@
     // Moves a timer that is already pending. A timer that is added while those of its tick are being returned
     // is due in the next tick: otherwise one that adds itself again would keep popDue() busy for ever.
     void add(TimerNode&, Micros at);
-    void remove(TimerNode&);          // does nothing if the timer is not pending
+    void remove(TimerNode&);  // does nothing if the timer is not pending
 
     // When to call popDue() next: not after the tick of the earliest timer, possibly before it. Empty if no
     // timer is pending.
--- a/src/node/line_connection.cpp
+++ b/src/node/line_connection.cpp
@@ -6,7 +6,9 @@
 namespace valekeel::node {
 namespace {
 
-constexpr std::size_t kMaxReadBytesPerTurn = 32 * 1024;  // per connection and turn of the event loop
+constexpr std::size_t kMaxDiscardedBytesPerTurn = 32 * 1024;  // by a lingering close
+constexpr std::size_t kMaxReadAvailableWork = 512 * 1024;     // some 900 messages
+constexpr std::size_t kReadBytes = 4 * 1024;                  // at once
 constexpr Micros kLineTimeoutRecheck = 10'000;
 
 }  // namespace
@@ -17,7 +19,7 @@
     return kNames[static_cast<int>(reason)];
 }
 
-LineConnection::LineConnection(net::Net& net, State state, const Limits& limits,
+LineConnection::LineConnection(net::Net& net, net::TurnQueue& turns, State state, const Limits& limits,
                                LineConnectionHandler& handler)
     : net_(net),
       limits_(limits),
@@ -26,8 +28,8 @@
       lastReceivedAt_(net.now()),
       lastSentAt_(net.now()),
       connectTimer_(net, [this] { disconnect(DisconnectReason::Unreachable); }),
-      readTimer_(net, [this] { onReadable(); }),
-      lineTimer_(net, [this] { onLineTimeout(); }) {}
+      lineTimer_(net, [this] { onLineTimeout(); }),
+      turn_(turns, [this] { return read(net::TurnQueue::kWorkPerTurn); }) {}
 
 // ================= LingeringCloser =================
 
@@ -46,7 +48,7 @@
     }
     void onReadable() override {
         std::array<char, 8192> buffer;
-        for (std::size_t budget = kMaxReadBytesPerTurn; budget > 0 && stream_;) {
+        for (std::size_t budget = kMaxDiscardedBytesPerTurn; budget > 0 && stream_;) {
             const net::IoResult result = stream_->read(buffer);
             if (result.status == net::IoResult::Status::WouldBlock) return;
             // A peer that has closed its writing half may still read: keep sending.
@@ -109,17 +111,18 @@
 
 // ================= LineConnection =================
 
-LineConnection::LineConnection(net::Net& net, std::unique_ptr<net::Stream> stream, const Limits& limits,
-                               LineConnectionHandler& handler, LingeringCloser& lingering)
-    : LineConnection(net, State::Open, limits, handler) {
+LineConnection::LineConnection(net::Net& net, net::TurnQueue& turns, std::unique_ptr<net::Stream> stream,
+                               const Limits& limits, LineConnectionHandler& handler,
+                               LingeringCloser& lingering)
+    : LineConnection(net, turns, State::Open, limits, handler) {
     lingering_ = &lingering;
     stream_ = std::move(stream);
     stream_->setHandler(*this);
 }
 
-LineConnection::LineConnection(net::Net& net, const net::Endpoint& endpoint, Micros connectTimeout,
-                               const Limits& limits, LineConnectionHandler& handler)
-    : LineConnection(net, State::Connecting, limits, handler) {
+LineConnection::LineConnection(net::Net& net, net::TurnQueue& turns, const net::Endpoint& endpoint,
+                               Micros connectTimeout, const Limits& limits, LineConnectionHandler& handler)
+    : LineConnection(net, turns, State::Connecting, limits, handler) {
     stream_ = net.connect(endpoint, *this);
     connectTimer_.after(connectTimeout);
 }
@@ -145,7 +148,7 @@
     output_.erase(0, result.bytes);
     if (output_.empty() && output_.capacity() > 4096) std::string().swap(output_);
     if (result.status == net::IoResult::Status::Broken || output_.size() > limits_.maxUnsentBytes)
-        readTimer_.soon();
+        turn_.wait();
 }
 
 void LineConnection::onConnected() {
@@ -168,26 +171,47 @@
     if (hadUnsent && canSend()) handler_.onDrained();
 }
 
+// A connection whose last turn left input waits for its next one, however often more arrives.
 void LineConnection::onReadable() {
-    if (state_ != State::Open) return;
+    if (!turn_.isWaiting()) read(net::TurnQueue::kWorkPerTurn);
+}
+
+void LineConnection::readAvailable() {
+    turn_.cancel();
+    read(kMaxReadAvailableWork);
+}
+
+// Returns the work that was done; takes a further turn if more input may be left.
+std::size_t LineConnection::read(std::size_t maxWork) {
+    std::size_t work = 0;
+    if (state_ != State::Open) return work;
     // Guards against a peer that keeps sending requests and never reads the responses.
-    if (output_.size() > limits_.maxUnsentBytes) return disconnect(DisconnectReason::SlowReader);
-    std::array<char, 8192> buffer;
-    for (std::size_t budget = kMaxReadBytesPerTurn; budget > 0;) {
+    if (output_.size() > limits_.maxUnsentBytes) {
+        disconnect(DisconnectReason::SlowReader);
+        return work;
+    }
+    std::array<char, kReadBytes> buffer;
+    while (work < maxWork) {
         const net::IoResult result = stream_->read(buffer);
-        if (result.status == net::IoResult::Status::WouldBlock) return;
-        if (result.status == net::IoResult::Status::EndOfStream)
-            return disconnect(input_.empty() ? DisconnectReason::Closed : DisconnectReason::Malformed);
-        if (result.status == net::IoResult::Status::Broken) return disconnect(DisconnectReason::Reset);
+        if (result.status == net::IoResult::Status::WouldBlock) return work;
+        if (result.status != net::IoResult::Status::Ready) {
+            disconnect(result.status == net::IoResult::Status::Broken ? DisconnectReason::Reset
+                       : input_.empty()                               ? DisconnectReason::Closed
+                                                                      : DisconnectReason::Malformed);
+            return work;
+        }
         lastReceivedAt_ = net_.now();
-        if (!processInput(std::string_view(buffer.data(), result.bytes))) return;
-        budget -= std::min(budget, result.bytes);
+        std::size_t lines = 0;
+        const bool isOpen = processInput(std::string_view(buffer.data(), result.bytes), lines);
+        work += result.bytes + lines * net::TurnQueue::kWorkPerMessage;
+        if (!isOpen) return work;
     }
-    readTimer_.soon();
+    turn_.wait();
+    return work;
 }
 
-// Splits input into lines. Returns false once the connection is closed.
-bool LineConnection::processInput(std::string_view bytes) {
+// Splits input into lines and adds their number to `lines`. Returns false once the connection is closed.
+bool LineConnection::processInput(std::string_view bytes, std::size_t& lines) {
     while (!bytes.empty()) {
         const auto end = bytes.find('\n');
         if (input_.size() + std::min(end, bytes.size()) > limits_.maxLineBytes) {
@@ -202,6 +226,7 @@
             input_ += bytes;
             return true;
         }
+        ++lines;
         if (input_.empty()) {
             handler_.onLine(bytes.substr(0, end));
         } else {
@@ -219,8 +244,9 @@
 
 // The rest of the line may be unread: a process that was not scheduled for a while runs its timers before it
 // reads. So the first timeout only reads, and the connection ends at the second, kLineTimeoutRecheck later.
+// While the connection waits for its turn, the line is not late.
 void LineConnection::onLineTimeout() {
-    if (++lineTimeouts_ > 1) return disconnect(DisconnectReason::Malformed);
+    if (!turn_.isWaiting() && ++lineTimeouts_ > 1) return disconnect(DisconnectReason::Malformed);
     lineTimer_.after(kLineTimeoutRecheck);
     onReadable();
 }
@@ -254,7 +280,7 @@
     }
     state_ = State::Closed;
     connectTimer_.cancel();
-    readTimer_.cancel();
+    turn_.cancel();
     lineTimer_.cancel();
     stream_.reset();
     std::string().swap(input_);
--- a/src/node/line_connection.hpp
+++ b/src/node/line_connection.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "net/net.hpp"
+#include "net/turn_queue.hpp"
 
 namespace valekeel::node {
 
@@ -68,18 +69,20 @@
         std::size_t maxLineBytes, maxUnsentBytes;
         Micros lineTimeout;  // how long a line may stay incomplete
     };
-    // An accepted connection. If something was sent on it lately, `lingering` completes its close.
-    LineConnection(net::Net&, std::unique_ptr<net::Stream>, const Limits&, LineConnectionHandler&,
-                   LingeringCloser& lingering);
+    // `turns` shares the event loop between connections with much input. An accepted connection. If something
+    // was sent on it lately, `lingering` completes its close.
+    LineConnection(net::Net&, net::TurnQueue& turns, std::unique_ptr<net::Stream>, const Limits&,
+                   LineConnectionHandler&, LingeringCloser& lingering);
     // Opens a connection.
-    LineConnection(net::Net&, const net::Endpoint&, Micros connectTimeout, const Limits&,
-                   LineConnectionHandler&);
+    LineConnection(net::Net&, net::TurnQueue& turns, const net::Endpoint&, Micros connectTimeout,
+                   const Limits&, LineConnectionHandler&);
     ~LineConnection() override;
 
     // Queues a line, which includes its newline, and writes what the kernel takes. Returns the line's offset
     // in the output stream, in bytes. Does nothing after close(). Never calls the handler.
     std::uint64_t send(std::string_view line);
-    void readAvailable() { onReadable(); }  // reads now instead of in the next turn; may call the handler
+    // Reads what has arrived, a limited amount, without waiting for a turn; may call the handler.
+    void readAvailable();
     std::uint64_t writtenBytes() const { return writtenBytes_; }  // bytes that the kernel has taken
     bool canSend() const { return state_ == State::Open && output_.empty(); }  // nothing is unsent
     bool isOpen() const { return state_ == State::Open; }
@@ -92,7 +95,7 @@
 
   private:
     enum class State { Connecting, Open, Closed };
-    LineConnection(net::Net&, State, const Limits&, LineConnectionHandler&);
+    LineConnection(net::Net&, net::TurnQueue&, State, const Limits&, LineConnectionHandler&);
     void onConnected() override;
     void onConnectFailed(net::ConnectError) override;
     void onReadable() override;
@@ -102,7 +105,8 @@
     void onLineTimeout();
     enum class CloseMode { Reset, Immediate, Lingering };
     void shutDown(CloseMode);
-    bool processInput(std::string_view bytes);
+    std::size_t read(std::size_t maxWork);
+    bool processInput(std::string_view bytes, std::size_t& lines);
 
     net::Net& net_;
     Limits limits_;
@@ -111,7 +115,8 @@
     std::string input_, output_;
     std::uint64_t queuedBytes_ = 0, writtenBytes_ = 0;  // in total
     Micros lastReceivedAt_, lastSentAt_;
-    net::Timer connectTimer_, readTimer_, lineTimer_;
+    net::Timer connectTimer_, lineTimer_;
+    net::TurnQueue::Member turn_;
     int lineTimeouts_ = 0;
     std::unique_ptr<net::Stream> stream_, abandonedStream_;
     LingeringCloser* lingering_ = nullptr;
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -153,6 +153,7 @@
     ServersHandler& handler_;
     std::function<void(const char*, std::string_view)> reportAnomaly_ = [](const char*, std::string_view) {};
     core::Core* core_ = nullptr;
+    net::TurnQueue turns_;  // of connections to media servers
     std::map<SfuId, std::unique_ptr<Server>> servers_;
     std::map<SubId, Session> sessions_;
     std::map<std::string, SubId, std::less<>> byTag_;
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -113,7 +113,7 @@
           key(key),
           acceptedAt(owner.net_.now()),
           transport(
-              owner.net_, std::move(stream),
+              owner.net_, owner.turns_, std::move(stream),
               LineConnection::Limits{kMaxLineBytes, owner.limits_.maxUnsentBytes, owner.limits_.lineTimeout},
               *this, owner.lingering_) {}
     // The least useful connection is closed first when room is needed, of equal ones the longest silent.
@@ -151,6 +151,7 @@
       listenAddress_(listenAddress),
       limits_(limits),
       constraints_(std::move(constraints)),
+      turns_(net),
       lingering_(net, {limits.maxConnections, limits.lingerTimeout, limits.maxLingerBytes}),
       deletionTimer_(net, [this] { closedConnections_.clear(); }),
       cleanupTimer_(net, [this] { cleanUp(); }) {}
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -124,6 +124,7 @@
     core::Core* core_ = nullptr;
     Servers* servers_ = nullptr;
     std::unique_ptr<net::Listener> listener_;
+    net::TurnQueue turns_;       // of viewers' connections
     LingeringCloser lingering_;  // counts towards maxConnections; its connections are closed first
     std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
     std::uint64_t nextConnectionKey_ = 1;
--- /dev/null
+++ b/tests/flood_test.cpp
@@ -0,0 +1,282 @@
+// Floods: one client sends at full speed, in a thread of its own, to the program as a process of its own; a
+// usual client beside it must be answered in time. FLOOD_SECONDS makes each flood last longer than in CI.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "net/process.hpp"
+#include "node_fixture.hpp"
+
+namespace valekeel {
+namespace {
+
+using namespace nodetest;
+namespace fs = std::filesystem;
+using MessageSource = std::function<std::string(std::uint64_t)>;  // the n-th message
+
+constexpr Micros kClientTimeout = 3 * kSecond;
+constexpr Micros kRequestInterval = 100'000;  // of the usual client
+constexpr std::size_t kChunkBytes = 64 * 1024;
+
+Micros floodTime() {
+    const char* seconds = std::getenv("FLOOD_SECONDS");
+    return (seconds ? std::atoll(seconds) : 2) * kSecond;
+}
+
+int connectTo(std::uint16_t port, int type) {
+    const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) < 0) {
+        ::close(fd);
+        return -1;
+    }
+    ::fcntl(fd, F_SETFL, O_NONBLOCK);
+    return fd;
+}
+
+// Sends messages at full speed from construction on, and discards what comes back. Over a stream it connects
+// again when the peer closes; as datagrams each message is one.
+class Flood {
+  public:
+    Flood(std::uint16_t port, int type, MessageSource source)
+        : thread_([this, port, type, source = std::move(source)] {
+              while (!isStopped_) run(port, type, source);
+          }) {}
+    ~Flood() {
+        isStopped_ = true;
+        thread_.join();
+    }
+
+  private:
+    void run(std::uint16_t port, int type, const MessageSource& source) {
+        const int fd = connectTo(port, type);
+        if (fd < 0) return;
+        std::string output;
+        std::array<char, kChunkBytes> input;
+        while (!isStopped_) {
+            pollfd waiting{fd, POLLIN | POLLOUT, 0};
+            ::poll(&waiting, 1, 50);
+            while (::recv(fd, input.data(), input.size(), 0) > 0) {
+            }
+            if (type == SOCK_STREAM && (waiting.revents & (POLLHUP | POLLERR))) break;
+            if (!(waiting.revents & POLLOUT)) continue;
+            do output += source(next_++);
+            while (type == SOCK_STREAM && output.size() < kChunkBytes);
+            const ssize_t sent = ::send(fd, output.data(), output.size(), MSG_NOSIGNAL);
+            output.erase(0, sent > 0 ? static_cast<std::size_t>(sent) : 0);
+            if (type == SOCK_DGRAM) output.clear();
+        }
+        ::close(fd);
+    }
+    std::atomic<bool> isStopped_{false};
+    std::uint64_t next_ = std::uint64_t{1} << 40;  // no id of the usual client
+    std::thread thread_;
+};
+
+fs::path makeFolder() {
+    const auto* test = testing::UnitTest::GetInstance()->current_test_info();
+    const fs::path folder = fs::path(testing::TempDir()) / ("valekeel-flood-" + std::string(test->name()));
+    fs::remove_all(folder);
+    fs::create_directories(folder);
+    return folder;
+}
+
+// ================= the front node =================
+
+// A port that was free a moment ago, as the node's configuration can't leave the choice to the kernel.
+std::uint16_t freePort(net::Net& net) {
+    struct : net::ListenerHandler {
+        void onAccepted(std::unique_ptr<net::Stream>) override {}
+    } handler;
+    return net.listen(Loop::any(), handler)->endpoint().port;
+}
+
+// `valekeel node` as a process between fake media servers, and one viewers' connection to it.
+struct NodeProcess : Loop {
+    std::vector<std::unique_ptr<fakes::PlatformServer>> servers;
+    std::unique_ptr<fakes::PlatformChangeLog> changeLog;
+    std::uint16_t port = freePort(net);
+    net::Process process;
+    std::unique_ptr<fakes::PlatformConnection> viewer;
+    std::map<std::string, Micros> sentAt, playedAfter;  // by tag
+    explicit NodeProcess(const std::function<void(Json&)>& configure = [](Json&) {}) {
+        std::vector<net::Endpoint> endpoints;
+        for (int i = 0; i < 3; ++i) {
+            servers.push_back(std::make_unique<fakes::PlatformServer>(net, any()));
+            endpoints.push_back(servers.back()->endpoint());
+        }
+        changeLog = std::make_unique<fakes::PlatformChangeLog>(net, any());
+        changeLog->last = 1;
+        Json configuration =
+            makeConfiguration(endpoints, *net::parseEndpoint("127.0.0.1:" + std::to_string(port)),
+                              changeLog->endpoint(), settings());
+        configure(configuration);
+        const fs::path folder = makeFolder();
+        std::ofstream(folder / "config.json") << configuration.dump();
+        process = net::Process({"/usr/bin/env", "BALANCER_CONFIG=" + (folder / "config.json").string(),
+                                VALEKEEL_PROGRAM, "node"});
+        connectViewer();
+    }
+    void connectViewer() {
+        const auto isReady = [&] {
+            const int fd = connectTo(port, SOCK_STREAM);
+            if (fd >= 0) ::close(fd);
+            return fd >= 0;
+        };
+        if (!until(isReady)) throw std::runtime_error("the front node does not listen");
+        viewer = std::make_unique<fakes::PlatformConnection>(
+            net, *net::parseEndpoint("127.0.0.1:" + std::to_string(port)),
+            [this](fakes::PlatformConnection&, const Json& message) {
+                const std::string tag = message.value("tag", "");
+                if (message["verb"] == "STARTED") playedAfter[tag] = net.now() - sentAt[tag];
+            });
+    }
+    void request(int n) {
+        sentAt[idOf(n)] = net.now();
+        viewer->send(NodeFixture<SocketMachines>::startMessage(n));
+    }
+    // Sends a set-up at each interval for that time, then waits for the answers that are still due.
+    void requestFor(Micros time) {
+        const Micros end = net.now() + time;
+        for (int n = 1; net.now() < end; ++n) {
+            request(n);
+            run(kRequestInterval);
+        }
+        until([&] { return playedAfter.size() == sentAt.size(); }, kClientTimeout);
+    }
+    void expectAllPlayed(const char* what) const {
+        EXPECT_EQ(playedAfter.size(), sentAt.size()) << what;
+        for (const auto& [tag, took] : playedAfter) EXPECT_LE(took, kClientTimeout) << what << " " << tag;
+    }
+};
+
+std::string jsonLine(const char* verb, std::uint64_t n, const char* rest) {
+    char line[200];
+    std::snprintf(line, sizeof line, "{\"verb\":\"%s\",\"tag\":\"%016llx\",%s}\n", verb,
+                  static_cast<unsigned long long>(n), rest);
+    return line;
+}
+std::string startLine(std::uint64_t n) {
+    const std::string title = "t" + std::to_string(n);
+    return jsonLine("START", n,
+                    (R"("opts":{"class":"talk","left":"3000","key":")" + title +
+                     R"(","extras":"home:0;copies:3;top:2"},"blob":"o")")
+                        .c_str());
+}
+std::string finishLine(std::uint64_t n) {
+    return jsonLine("FINISH", n, R"("opts":{},"rc":16)");
+}
+
+// One connection at full speed kept all others waiting, up to the end of the flood.
+TEST(Flood, NodeServesOthersBesideOneBusyConnection) {
+    const std::pair<const char*, MessageSource> floods[] = {
+        {"PENDING", [](std::uint64_t n) { return jsonLine("PENDING", n, R"("opts":{})"); }},
+        {"FINISH", finishLine},
+        {"START and FINISH", [](std::uint64_t n) { return startLine(n) + finishLine(n); }},
+    };
+    for (const auto& [name, source] : floods) {
+        NodeProcess node;
+        const Flood flood(node.port, SOCK_STREAM, source);
+        node.requestFor(floodTime());
+        node.expectAllPlayed(name);
+    }
+}
+
+// ================= HTTP and SIP =================
+
+// `valekeel serve` as a process, without media servers.
+struct ServeProcess : Loop {
+    net::Process process;
+    std::uint16_t httpPort = 0, sipPort = 0;
+    explicit ServeProcess(const std::string& httpLimits = "") {
+        const fs::path folder = makeFolder();
+        std::ofstream(folder / "boxes.kdl") << "";
+        std::ofstream(folder / "site.kdl") << R"(
+front "flooded" fronts=1 stop-within="1s"
+ladder stall-loss=7 { rung kb=10 worth=0.3; }
+room-type "open" client-timeout="3s" join-objective="1s" benefit=1
+fleet cells=3 racks=1 links-kb=3000 link-kb-per-size=1000 { kind "k" places=50; }
+cold warm-up="2s" first-share=0.5 fall-multiple=2.5 tip-after="1s"
+join-budget free=5 share=0.1 window="10s"
+tidings late="100ms" every="500ms"
+allowed joins=3 come-back-at-most="1s"
+talk "t" first-cell=0 holders=3
+list file="boxes.kdl"
+log file="front.log" level="error"
+http listen="127.0.0.1:0" )" << httpLimits << "\nsip listen=\"127.0.0.1:0\"\n";
+        const fs::path portFile = folder / "port";
+        process = net::Process({"/usr/bin/env", "-C", folder.string(), VALEKEEL_PROGRAM, "serve", "site.kdl",
+                                "--port-file", portFile.string()});
+        if (!until([&] { return fs::exists(portFile); }))
+            throw std::runtime_error("the front does not listen");
+        std::ifstream ports(portFile);
+        std::string http, sip;
+        ports >> http >> sip;
+        httpPort = net::parseEndpoint(http).value().port;
+        sipPort = net::parseEndpoint(sip).value().port;
+    }
+};
+
+// Sends the request on a socket of its own and returns the time to the first byte of the answer; nothing if
+// none has come within the client timeout.
+std::optional<Micros> answerTime(Loop& loop, std::uint16_t port, int type, const std::string& request) {
+    const int fd = connectTo(port, type);
+    if (fd < 0) return std::nullopt;
+    const Micros sentAt = loop.net.now();
+    ::send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+    char byte;
+    const bool isAnswered = loop.until([&] { return ::recv(fd, &byte, 1, 0) > 0; }, kClientTimeout);
+    ::close(fd);
+    return isAnswered ? std::optional(loop.net.now() - sentAt) : std::nullopt;
+}
+
+std::string httpRequest(std::uint64_t n) {
+    return "GET /" + std::to_string(n) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+std::string sipRequest(const char* method, const char* transport, std::uint64_t n) {
+    const std::string number = std::to_string(n);
+    return std::string(method) + " sip:nobody@127.0.0.1 SIP/2.0\r\nVia: SIP/2.0/" + transport +
+           " 127.0.0.1:9;branch=z9hG4bK" + number +
+           ";rport\r\nMax-Forwards: 70\r\nFrom: <sip:a@x>;tag=1\r\nTo: <sip:nobody@x>\r\nCall-ID: c" +
+           number + "\r\nCSeq: 1 " + method + "\r\nContact: <sip:a@127.0.0.1:9>\r\nContent-Length: 0\r\n\r\n";
+}
+
+void expectOthersAnswered(ServeProcess& front, const char* flood) {
+    const Micros end = front.net.now() + floodTime();
+    for (std::uint64_t n = 1; front.net.now() < end; ++n) {
+        EXPECT_TRUE(answerTime(front, front.httpPort, SOCK_STREAM, httpRequest(n))) << flood << ": HTTP";
+        EXPECT_TRUE(answerTime(front, front.sipPort, SOCK_STREAM, sipRequest("OPTIONS", "TCP", 2 * n)))
+            << flood << ": SIP over TCP";
+        EXPECT_TRUE(answerTime(front, front.sipPort, SOCK_DGRAM, sipRequest("OPTIONS", "UDP", 2 * n + 1)))
+            << flood << ": SIP over UDP";
+        front.run(kRequestInterval);
+    }
+}
+
+TEST(Flood, HttpAndSipServeOthersBesideOneBusyConnection) {
+    ServeProcess front;
+    {
+        const Flood flood(front.httpPort, SOCK_STREAM, httpRequest);
+        expectOthersAnswered(front, "GET");
+    }
+    const auto options = [](std::uint64_t n) { return sipRequest("OPTIONS", "TCP", n); };
+    const Flood flood(front.sipPort, SOCK_STREAM, options);
+    expectOthersAnswered(front, "OPTIONS");
+}
+
+}  // namespace
+}  // namespace valekeel
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -11,8 +11,8 @@
 namespace valekeel {
 namespace {
 
-// The times of requests are kept for the join budget, and were discarded only when a join was repeated: memory
-// grew without end while none was. (With ASan mallinfo2() tells nothing; the build without it judges.)
+// The times of requests are kept for the join budget, and were discarded only when a join was repeated:
+// memory grew without end while none was. (With ASan mallinfo2() tells nothing; the build without it judges.)
 TEST(Logic, MemoryDoesNotGrowWithRequestsThatCameAndWent) {
     SiteConfig site;
     site.budget = JoinBudget{5, 0.1, 10 * kSecond};
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -315,10 +315,11 @@
     } handler;
     net::VirtualNetwork world{5};
     net::VirtualNode& machine = world.node("here", VirtualMachines::place(0).ip);
+    net::TurnQueue turns(machine);
     std::vector<std::unique_ptr<node::LineConnection>> connections;
     for (int i = 0; i < 10; ++i) {
         connections.push_back(
-            std::make_unique<node::LineConnection>(machine, VirtualMachines::place(1), kSecond,
+            std::make_unique<node::LineConnection>(machine, turns, VirtualMachines::place(1), kSecond,
                                                    node::LineConnection::Limits{100, 100, kSecond}, handler));
         connections.back()->close();
     }
