SIP: requests that belong to no call and set up none keep no state

Callers saw: one sender of OPTIONS with ever new Call-IDs, and everybody is refused with 503 for half a minute. Cause: every request had a transaction, kept for 32 s, and at the limit of 20,000 everything new was refused. Evidence: with transactions=20 a hundred such requests do it at no load. Change: such requests are answered without state (RFC 3261, 8.2.7); the answer follows from the request, so a copy gets the same; a transaction begins with the call.

--- a/src/frontends/sip/sip_frontend.cpp
+++ b/src/frontends/sip/sip_frontend.cpp
@@ -25,6 +25,11 @@
     return hashOf(std::string(branch) + "|" + std::string(callId), salt);
 }
 
+// Returns the transaction key of the INVITE that a CANCEL with this key is about.
+std::string inviteKeyOf(const std::string& cancelKey) {
+    return cancelKey.substr(0, cancelKey.size() - std::string_view("|CANCEL").size());
+}
+
 }  // namespace
 
 // One call: from the INVITE until it is refused or its dialog ends.
@@ -319,7 +324,7 @@
         ++counts_.malformed;
         log_.write(logging::Level::Warning, net_.now(), net_.wallNow(), "bad-sip",
                    {{"peer", net::toString(route.peer)}, {"status", parsed.status}, {"why", parsed.why}});
-        if (parsed.partial && parsed.status) replyStateless(*parsed.partial, route, parsed.status);
+        if (parsed.partial && parsed.status) replyStateless(*parsed.partial, route, {parsed.status});
         return;
     }
     if (parsed.message->request)
@@ -337,19 +342,21 @@
     return m;
 }
 
-// Answers without creating a transaction, so that refusals under a flood keep no state.
-void SipFrontend::replyStateless(const sip::Message& m, const sip::ReplyRoute& route, int status,
-                                 Micros retryAfter) {
-    std::vector<std::pair<std::string, std::string>> extraFields;
-    if (retryAfter > 0) extraFields.emplace_back("Retry-After", ceilToSeconds(retryAfter));
-    sendTo(route,
-           sip::response(withControl(m), status,
-                         logging::toHex(inviteHash(m.vias.front().branch, m.callId, hashSalt_) ^ hashSalt_),
-                         extraFields, "", &route.peer));
+// Answers without creating a transaction, so that refusals and requests outside of calls keep no state under
+// a flood (RFC 3261, section 8.2.7). A retransmission gets the same answer, with the same tag.
+void SipFrontend::replyStateless(const sip::Message& m, const sip::ReplyRoute& route,
+                                 const Refusal& refusal) {
+    const std::uint64_t hash = inviteHash(m.vias.front().branch, m.callId, hashSalt_);
+    if (refusal.isRemembered) refusedRequests_.insert(hash);
+    sendTo(route, sip::response(withControl(m), refusal.status, logging::toHex(hash ^ hashSalt_),
+                                refusal.fields, "", &route.peer));
 }
 
-void SipFrontend::reply(const std::string& key, const sip::Message& m, int status,
-                        std::vector<std::pair<std::string, std::string>> extraFields,
+SipFrontend::Refusal SipFrontend::refusalWithRetry(Micros retryAfter) const {
+    return {503, {{"Retry-After", ceilToSeconds(retryAfter)}}, true};
+}
+
+void SipFrontend::reply(const std::string& key, const sip::Message& m, int status, ExtraFields extraFields,
                         const std::string& body) {
     const auto call = callsByKey_.find(key);
     const std::string tag =
@@ -384,7 +391,14 @@
         if (shouldShed(inviteHash(m.vias.front().branch, m.callId, hashSalt_),
                        m.vias.front().params.count("oc") > 0, emergency, route)) {
             ++counts_.shed;
-            return replyStateless(m, route, 503, settings_.retryAfterWhenFull);
+            return replyStateless(m, route, refusalWithRetry(settings_.retryAfterWhenFull));
+        }
+    }
+    if (!transactions_.contains(key)) {
+        if (const auto answer = answerWithoutState(m)) return replyStateless(m, route, *answer);
+        if (m.method == "INVITE" && m.to.tag.empty()) {
+            if (const auto refusal = onInvite(m, route)) replyStateless(m, route, *refusal);
+            return;
         }
     }
     switch (transactions_.request(m, route)) {
@@ -392,25 +406,30 @@
             return;
         case sip::Transactions::RequestDisposition::Full:
             ++counts_.shed;
-            refusedRequests_.insert(inviteHash(m.vias.front().branch, m.callId, hashSalt_));
-            return replyStateless(m, route, 503, settings_.retryAfterWhenFull);
+            return replyStateless(m, route, refusalWithRetry(settings_.retryAfterWhenFull));
         case sip::Transactions::RequestDisposition::New:
             break;
     }
-    if (m.maxForwards && *m.maxForwards == 0 && m.method != "OPTIONS") return reply(key, m, 483);
     if (m.method == "CANCEL") return onCancel(m, key);
-    for (const std::string& extension : m.require)
-        if (extension != "timer") return reply(key, m, 420, {{"Unsupported", extension}});
-    if (!m.to.tag.empty()) {
-        Call* call = byDialog(m);
-        if (!call) return reply(key, m, 481);
-        return inDialog(*call, m, key);
+    if (Call* call = byDialog(m)) inDialog(*call, m, key);
+}
+
+// What belongs to no call and sets up none is answered at once, by the request alone: a flood of such
+// requests must not take the places that calls need. Empty if the request concerns a call.
+std::optional<SipFrontend::Refusal> SipFrontend::answerWithoutState(const sip::Message& m) {
+    if (m.maxForwards && *m.maxForwards == 0 && m.method != "OPTIONS") return Refusal{483};
+    if (m.method == "CANCEL") {
+        const std::string invite = inviteKeyOf(sip::Transactions::keyOf(m));
+        return transactions_.contains(invite) ? std::nullopt : std::optional(Refusal{481});
     }
-    if (m.method == "INVITE") return onInvite(std::move(m), route);
+    for (const std::string& extension : m.require)
+        if (extension != "timer") return Refusal{420, {{"Unsupported", extension}}};
+    if (!m.to.tag.empty()) return byDialog(m) ? std::nullopt : std::optional(Refusal{481});
+    if (m.method == "INVITE") return std::nullopt;
     if (m.method == "OPTIONS")
-        return reply(key, m, 200, {{"Allow", kAllow}, {"Accept", "application/sdp"}, {"Supported", "timer"}});
-    if (m.method == "BYE" || m.method == "UPDATE") return reply(key, m, 481);
-    reply(key, m, 405, {{"Allow", kAllow}});
+        return Refusal{200, {{"Allow", kAllow}, {"Accept", "application/sdp"}, {"Supported", "timer"}}};
+    if (m.method == "BYE" || m.method == "UPDATE") return Refusal{481};
+    return Refusal{405, {{"Allow", kAllow}}};
 }
 
 // Decides before a transaction is created whether overload control or admission refuses an INVITE. A refused
@@ -455,43 +474,45 @@
     return true;
 }
 
-void SipFrontend::onInvite(sip::Message m, const sip::ReplyRoute& route) {
+// Begins a call and its transaction, or returns why there is none.
+std::optional<SipFrontend::Refusal> SipFrontend::onInvite(sip::Message& m, const sip::ReplyRoute& route) {
     const std::string key = sip::Transactions::keyOf(m);
     // Merged request (RFC 3261, section 8.2.2.2): the same call, forked upstream or sent from a second port.
     const std::string mergeKey = m.callId + "|" + m.from.tag + "|" + std::to_string(m.cseq);
     const auto first = firstTransactionByMergeKey_.find(mergeKey);
     if (first != firstTransactionByMergeKey_.end() && transactions_.contains(first->second)) {
         ++counts_.merged;
-        return reply(key, m, 482);
+        return Refusal{482};
     }
     const auto talk = talks_.find(m.user);
-    if (talk == talks_.end()) return reply(key, m, 404);
+    if (talk == talks_.end()) return Refusal{404};
     const auto roomParam = m.uriParams.find("room");
     const auto room =
         roomTypes_.find(roomParam == m.uriParams.end() ? roomTypes_.types.front().name : roomParam->second);
-    if (!room) return reply(key, m, 404);
-    if (!m.contact || m.contact->uri.empty()) return reply(key, m, 400);
+    if (!room) return Refusal{404};
+    if (!m.contact || m.contact->uri.empty()) return Refusal{400};
     sip::Offer offer;
     if (m.body.empty()) {  // the 200 carries our offer and the ACK the answer
         offer.hasVideo = true;
         offer.mediaLines = {"video 0 RTP/AVP 96"};
     } else {
         if (m.contentType.compare(0, 15, "application/sdp") != 0)
-            return reply(key, m, 415, {{"Accept", "application/sdp"}});
+            return Refusal{415, {{"Accept", "application/sdp"}}};
         const auto read = sip::parseOffer(m.body);
-        if (!read || !read->hasVideo || !read->wantsVideo) return reply(key, m, 488);
+        if (!read || !read->hasVideo || !read->wantsVideo) return Refusal{488};
         offer = *read;
     }
     if (m.sessionExpires && static_cast<Micros>(*m.sessionExpires) * kSecond < settings_.minSe)
-        return reply(key, m, 422, {{"Min-SE", ceilToSeconds(settings_.minSe)}});
+        return Refusal{422, {{"Min-SE", ceilToSeconds(settings_.minSe)}}};
 
-    if (calls_.size() >= settings_.calls)
-        return reply(key, m, 503, {{"Retry-After", ceilToSeconds(settings_.retryAfterWhenFull)}});
+    if (calls_.size() >= settings_.calls) return refusalWithRetry(settings_.retryAfterWhenFull);
+    if (transactions_.isFull()) {
+        ++counts_.shed;
+        return refusalWithRetry(settings_.retryAfterWhenFull);
+    }
     const std::uint32_t network = admission_.networkOf(route.peer.ip);
     if (admission_.admit(net_.now(), network) != admission::AdmissionController::Decision::Admitted)
-        return reply(key, m, 503,
-                     {{"Retry-After",
-                       ceilToSeconds(admission_.retryAfter(net_.now(), settings_.retryAfterWhenFull))}});
+        return refusalWithRetry(admission_.retryAfter(net_.now(), settings_.retryAfterWhenFull));
 
     const RoomType& type = roomTypes_.types[room->v];
     double kbits = offer.maxBitrate ? static_cast<double>(*offer.maxBitrate) / 1'000 : 1e18;
@@ -503,8 +524,9 @@
     const auto id = core_.subscribe(*this, request, timeout);
     if (!id) {
         admission_.onAnswered(network);
-        return reply(key, m, 503, {{"Retry-After", ceilToSeconds(settings_.retryAfterWhenFull)}});
+        return refusalWithRetry(settings_.retryAfterWhenFull);
     }
+    transactions_.request(m, route);
     auto created = std::make_unique<Call>();
     Call& call = *created;
     call.sub = *id;
@@ -560,10 +582,11 @@
                 {"network", admission_.nameOf(network)}});
     reply(key, call.invite, 100);
     core_.start(*id);
+    return std::nullopt;
 }
 
 void SipFrontend::onCancel(const sip::Message& m, const std::string& key) {
-    std::string invite = key.substr(0, key.size() - 7);  // removes "|CANCEL"
+    const std::string invite = inviteKeyOf(key);
     const auto it = callsByKey_.find(invite);
     reply(key, m, transactions_.contains(invite) ? 200 : 481);
     // A CANCEL after the final answer has no effect (RFC 3261, section 9.2).
--- a/src/frontends/sip/sip_frontend.hpp
+++ b/src/frontends/sip/sip_frontend.hpp
@@ -81,18 +81,26 @@
     void onDatagram(const net::Endpoint& from, std::string_view bytes) override;
     void onAccepted(std::unique_ptr<net::Stream>) override;
     void onMessage(std::string_view bytes, const sip::ReplyRoute&);
+    using ExtraFields = std::vector<std::pair<std::string, std::string>>;
+    // A final answer that keeps no state.
+    struct Refusal {
+        int status;
+        ExtraFields fields = {};
+        bool isRemembered = false;  // a retransmission is refused too, whatever has changed by then
+    };
     void onRequest(sip::Message, const sip::ReplyRoute&);
+    std::optional<Refusal> answerWithoutState(const sip::Message&);
     void onAnswer(const sip::Message&);
-    void onInvite(sip::Message, const sip::ReplyRoute&);
+    std::optional<Refusal> onInvite(sip::Message&, const sip::ReplyRoute&);
     void onCancel(const sip::Message&, const std::string& key);
     void inDialog(Call&, const sip::Message&, const std::string& key);
-    void reply(const std::string& key, const sip::Message&, int status,
-               std::vector<std::pair<std::string, std::string>> extraFields = {},
+    void reply(const std::string& key, const sip::Message&, int status, ExtraFields extraFields = {},
                const std::string& body = "");
     sip::Message withControl(sip::Message) const;
     bool shedByPrefilter(const sip::PrefilteredRequest&, const sip::ReplyRoute&);
     bool shouldShed(std::uint64_t hash, bool supportsOverloadControl, bool emergency, const sip::ReplyRoute&);
-    void replyStateless(const sip::Message&, const sip::ReplyRoute&, int status, Micros retryAfter = 0);
+    void replyStateless(const sip::Message&, const sip::ReplyRoute&, const Refusal&);
+    Refusal refusalWithRetry(Micros retryAfter) const;
 
     void onPlaying(SubId, SfuId, int rung) override;
     void onThrottled(SubId, Micros retryAfter) override;
--- a/src/sip/transactions.cpp
+++ b/src/sip/transactions.cpp
@@ -32,7 +32,7 @@
             handler_.sendTo(transaction.route, transaction.lastResponse);
         return RequestDisposition::Absorbed;
     }
-    if (all_.size() >= maxTransactions_) return RequestDisposition::Full;
+    if (isFull()) return RequestDisposition::Full;
     Transaction& transaction = all_[key];
     transaction.invite = m.method == "INVITE";
     transaction.route = route;
--- a/src/sip/transactions.hpp
+++ b/src/sip/transactions.hpp
@@ -68,6 +68,7 @@
     bool contains(const std::string& key) const { return all_.count(key) > 0; }
     std::optional<TransactionState> stateOf(const std::string& key) const;
     std::size_t size() const { return all_.size(); }
+    bool isFull() const { return all_.size() >= maxTransactions_; }
     std::uint64_t absorbed() const { return absorbed_; }  // retransmitted requests so far
 
   private:
--- a/tests/flood_test.cpp
+++ b/tests/flood_test.cpp
@@ -202,7 +202,7 @@
 struct ServeProcess : Loop {
     net::Process process;
     std::uint16_t httpPort = 0, sipPort = 0;
-    explicit ServeProcess(const std::string& httpLimits = "") {
+    explicit ServeProcess(const std::string& httpLimits = "", const std::string& sipLimits = "") {
         const fs::path folder = makeFolder();
         std::ofstream(folder / "boxes.kdl") << "";
         std::ofstream(folder / "site.kdl") << R"(
@@ -217,7 +217,8 @@
 talk "t" first-cell=0 holders=3
 list file="boxes.kdl"
 log file="front.log" level="error"
-http listen="127.0.0.1:0" )" << httpLimits << "\nsip listen=\"127.0.0.1:0\"\n";
+http listen="127.0.0.1:0" )" << httpLimits << "\nsip listen=\"127.0.0.1:0\" "
+                                           << sipLimits << "\n";
         const fs::path portFile = folder / "port";
         process = net::Process({"/usr/bin/env", "-C", folder.string(), VALEKEEL_PROGRAM, "serve", "site.kdl",
                                 "--port-file", portFile.string()});
@@ -231,17 +232,29 @@
     }
 };
 
-// Sends the request on a socket of its own and returns the time to the first byte of the answer; nothing if
-// none has come within the client timeout.
-std::optional<Micros> answerTime(Loop& loop, std::uint16_t port, int type, const std::string& request) {
+// Sends the request on a socket of its own and returns the answer, or as much of it as comes at once; empty
+// if none has come within the client timeout.
+std::string answerTo(Loop& loop, std::uint16_t port, int type, const std::string& request) {
     const int fd = connectTo(port, type);
-    if (fd < 0) return std::nullopt;
-    const Micros sentAt = loop.net.now();
+    if (fd < 0) return "";
     ::send(fd, request.data(), request.size(), MSG_NOSIGNAL);
-    char byte;
-    const bool isAnswered = loop.until([&] { return ::recv(fd, &byte, 1, 0) > 0; }, kClientTimeout);
+    std::array<char, 4096> answer;
+    ssize_t size = 0;
+    loop.until([&] { return (size = ::recv(fd, answer.data(), answer.size(), 0)) > 0; }, kClientTimeout);
     ::close(fd);
-    return isAnswered ? std::optional(loop.net.now() - sentAt) : std::nullopt;
+    return std::string(answer.data(), static_cast<std::size_t>(std::max<ssize_t>(0, size)));
+}
+bool isAnswered(Loop& loop, std::uint16_t port, int type, const std::string& request) {
+    return !answerTo(loop, port, type, request).empty();
+}
+std::string firstLine(Loop& loop, std::uint16_t port, int type, const std::string& request) {
+    const std::string answer = answerTo(loop, port, type, request);
+    return answer.substr(0, answer.find('\r'));
+}
+// The source port of the request stands in the answer.
+std::string withoutPort(const std::string& answer) {
+    const auto from = answer.find(";rport=");
+    return answer.substr(0, from) + answer.substr(std::min(answer.size(), answer.find(';', from + 1)));
 }
 
 std::string httpRequest(std::uint64_t n) {
@@ -258,10 +271,10 @@
 void expectOthersAnswered(ServeProcess& front, const char* flood) {
     const Micros end = front.net.now() + floodTime();
     for (std::uint64_t n = 1; front.net.now() < end; ++n) {
-        EXPECT_TRUE(answerTime(front, front.httpPort, SOCK_STREAM, httpRequest(n))) << flood << ": HTTP";
-        EXPECT_TRUE(answerTime(front, front.sipPort, SOCK_STREAM, sipRequest("OPTIONS", "TCP", 2 * n)))
+        EXPECT_TRUE(isAnswered(front, front.httpPort, SOCK_STREAM, httpRequest(n))) << flood << ": HTTP";
+        EXPECT_TRUE(isAnswered(front, front.sipPort, SOCK_STREAM, sipRequest("OPTIONS", "TCP", 2 * n)))
             << flood << ": SIP over TCP";
-        EXPECT_TRUE(answerTime(front, front.sipPort, SOCK_DGRAM, sipRequest("OPTIONS", "UDP", 2 * n + 1)))
+        EXPECT_TRUE(isAnswered(front, front.sipPort, SOCK_DGRAM, sipRequest("OPTIONS", "UDP", 2 * n + 1)))
             << flood << ": SIP over UDP";
         front.run(kRequestInterval);
     }
@@ -278,5 +291,33 @@
     expectOthersAnswered(front, "OPTIONS");
 }
 
+// What belongs to no call took the places of transactions for half a minute: then everybody was refused.
+TEST(Flood, SipRequestsOutsideOfCallsTakeNoPlaceFromCalls) {
+    ServeProcess front("", "transactions=20");
+    std::uint64_t n = 0;
+    for (const char* method : {"OPTIONS", "CANCEL", "INVITE", "BYE", "PUBLISH"}) {
+        for (int i = 0; i < 100; ++i)
+            ASSERT_TRUE(isAnswered(front, front.sipPort, SOCK_DGRAM, sipRequest(method, "UDP", ++n)));
+        EXPECT_EQ(firstLine(front, front.sipPort, SOCK_DGRAM, sipRequest("OPTIONS", "UDP", ++n)),
+                  "SIP/2.0 200 OK")
+            << "after " << method;
+        EXPECT_EQ(firstLine(front, front.sipPort, SOCK_DGRAM, sipRequest("INVITE", "UDP", ++n)),
+                  "SIP/2.0 404 Not Found")
+            << "after " << method;
+    }
+}
+
+// A request that comes again gets the same answer, although nothing is kept of the first.
+TEST(Flood, SipRequestOutsideOfCallsGetsTheSameAnswerAgain) {
+    ServeProcess front;
+    for (const char* method : {"OPTIONS", "CANCEL", "INVITE", "BYE"}) {
+        const std::string request = sipRequest(method, "UDP", 1);
+        const std::string answer = answerTo(front, front.sipPort, SOCK_DGRAM, request);
+        EXPECT_NE(answer.find(";tag="), std::string::npos) << method;
+        EXPECT_EQ(withoutPort(answerTo(front, front.sipPort, SOCK_DGRAM, request)), withoutPort(answer))
+            << method;
+    }
+}
+
 }  // namespace
 }  // namespace valekeel
