Memory for clients: a limit on what all connections and set-ups hold together

Cause: each connection keeps to its limits, nothing bounded their sum, and memory_mb was not read. Change: net::BufferBudget closes those that hold the most; the node takes it from memory_mb, HTTP and SIP from the new buffered-mb; set-ups over their part are refused as busy; handed-over sessions keep no description.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -57,6 +57,8 @@
     Micros stopTimeout = 10 * kSecond;
 };
 
+constexpr std::size_t kMegabyte = 1024 * 1024;
+
 void readHttp(NodeReader& top, FrontSettings& settings) {
     if (auto node = top.optionalChild("http")) {
         settings.httpEndpoint = node->address("listen");
@@ -67,6 +69,8 @@
             static_cast<std::uint32_t>(node->integer("target-bytes", 128, 100'000, w.targetBytes));
         w.bodyBytes = static_cast<std::uint64_t>(node->integer("body-bytes", 0, 100'000'000, 65'536));
         w.outBytes = static_cast<std::uint32_t>(node->integer("out-bytes", 4'096, 100'000'000, w.outBytes));
+        w.bufferedBytes =
+            kMegabyte * static_cast<std::uint64_t>(node->integer("buffered-mb", 1, 1'000'000, 64));
         w.headTimeout = node->duration("head-within", 10'000, kHour, w.headTimeout);
         w.idleTimeout = node->duration("idle-for", 100'000, kHour, w.idleTimeout);
         w.stallTimeout = node->duration("stalled-for", 100'000, kHour, w.stallTimeout);
@@ -135,6 +139,7 @@
     s.transactions = static_cast<std::size_t>(node->integer("transactions", 1, 10'000'000, 20'000));
     s.calls = static_cast<std::size_t>(node->integer("calls", 1, 10'000'000, 20'000));
     s.streams = static_cast<std::size_t>(node->integer("streams", 0, 1'000'000, 2'000));
+    s.maxBufferedBytes = kMegabyte * static_cast<std::size_t>(node->integer("buffered-mb", 1, 1'000'000, 64));
     s.times.t1 = node->duration("t1", 1'000, 10 * kSecond, s.times.t1);
     s.times.t2 = node->duration("t2", s.times.t1, 60 * kSecond, std::max(s.times.t1, s.times.t2));
     s.times.t4 = node->duration("t4", 1'000, 60 * kSecond, s.times.t4);
--- a/src/frontends/sip/sip_frontend.cpp
+++ b/src/frontends/sip/sip_frontend.cpp
@@ -118,13 +118,14 @@
           route_{true, key, stream_->peer()},
           framer_(frontend.settings_.limits.bytes),
           idleTimer_(frontend.net_, [this] { close(); }),
-          turn_(frontend.turns_, [this] { return read(); }) {
+          turn_(frontend.turns_, [this] { return read(net::TurnQueue::kWorkPerTurn); }),
+          buffered_(frontend.buffers_, [this] { onOverMemoryLimit(); }) {
         stream_->setHandler(*this);
         idleTimer_.after(frontend.settings_.streamIdleTimeout);
     }
     // A stream whose last turn left input waits for its next one.
     void onReadable() override {
-        if (!turn_.isWaiting()) read();
+        if (!turn_.isWaiting()) read(net::TurnQueue::kWorkWhenReadable);
     }
     void onWritable() override { flush(); }
     void send(const std::string& bytes) {
@@ -138,6 +139,7 @@
         stream_.reset();
         idleTimer_.cancel();
         turn_.cancel();
+        buffered_.set(0);
         const auto it = frontend_.streams_.find(route_.connection);
         if (it == frontend_.streams_.end()) return;
         frontend_.retiredStreams_.push_back(std::move(it->second));
@@ -146,11 +148,11 @@
     }
 
   private:
-    // Handles the input of one turn, and waits for the next if more may be left. Returns the work done.
-    std::size_t read() {
+    // Handles a limited amount of input, and waits for a turn if more may be left. Returns the work done.
+    std::size_t read(std::size_t maxWork) {
         std::size_t work = 0;
         std::array<char, kStreamReadBytes> buffer;
-        while (stream_ && work < net::TurnQueue::kWorkPerTurn) {
+        while (stream_ && work < maxWork) {
             const net::IoResult result = stream_->read(buffer);
             if (result.status == net::IoResult::Status::WouldBlock) return work;
             if (result.bytes == 0) {
@@ -166,6 +168,7 @@
             }
             good = good && framer_.feed("");
             if (!good) close();
+            updateBuffered();
         }
         if (stream_) turn_.wait();
         return work;
@@ -174,8 +177,19 @@
         if (!stream_ || sendBuffer_.empty()) return;
         const net::IoResult result = stream_->write(sendBuffer_);
         sendBuffer_.erase(0, result.bytes);
+        updateBuffered();
         if (result.status == net::IoResult::Status::Broken) close();
     }
+    void updateBuffered() { buffered_.set(stream_ ? framer_.heldBytes() + sendBuffer_.capacity() : 0); }
+    // All streams together hold too much, and this one the most.
+    void onOverMemoryLimit() {
+        frontend_.log_.write(
+            logging::Level::Warning, frontend_.net_.now(), frontend_.net_.wallNow(), "bad-sip",
+            {{"peer", net::toString(route_.peer)},
+             {"status", 0},
+             {"why", "all streams together hold too much unfinished input or unsent output"}});
+        close();
+    }
     SipFrontend& frontend_;
     std::unique_ptr<net::Stream> stream_;
     sip::ReplyRoute route_;
@@ -183,6 +197,7 @@
     std::string sendBuffer_;
     net::Timer idleTimer_;
     net::TurnQueue::Member turn_;
+    net::BufferBudget::Holder buffered_;
 };
 
 // Asks the media server whether it still holds the subscription of a call.
@@ -230,6 +245,7 @@
       overload_(settings.overload),
       refusedRequests_(settings.maxRememberedRefusals),
       turns_(net_),
+      buffers_(net_, settings.maxBufferedBytes),
       cleanupTimer_(net_,
                     [this] {
                         retiredStreams_.clear();
--- a/src/frontends/sip/sip_frontend.hpp
+++ b/src/frontends/sip/sip_frontend.hpp
@@ -18,6 +18,7 @@
 
 #include "frontends/frontend_context.hpp"
 #include "logging/trace_context.hpp"
+#include "net/buffer_budget.hpp"
 #include "net/turn_queue.hpp"
 #include "sip/overload.hpp"
 #include "sip/prefilter.hpp"
@@ -33,6 +34,7 @@
     bool shed = true;                            // overload control; if off, only the hard limits apply
     std::size_t maxRememberedRefusals = 65'536;  // refused INVITEs without a transaction
     std::size_t transactions = 20'000, calls = 20'000, streams = 2'000;
+    std::size_t maxBufferedBytes = 64 * 1024 * 1024;  // unfinished and unsent, of all streams
     // Session timers (RFC 4028): the default Session-Expires and the smallest one accepted (Min-SE).
     Micros sessionExpires = 120'000'000, minSe = 90'000'000;
     // Probes of the media server during a call.
@@ -132,6 +134,7 @@
     std::unique_ptr<net::DatagramSocket> datagrams_;
     std::unique_ptr<net::Listener> listener_;
     net::TurnQueue turns_;  // of streams with more input than one turn handles
+    net::BufferBudget buffers_;
     std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
     std::vector<std::unique_ptr<Stream>> retiredStreams_;
     std::uint64_t nextStreamId_ = 1;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -69,6 +69,8 @@
     std::int64_t idleTimeout = 30'000'000;  // without a request on a connection
     std::int64_t stallTimeout =
         10'000'000;  // without progress in sending: guards against readers that stop reading
+    std::uint64_t bufferedBytes =
+        64 * 1024 * 1024;                // unfinished requests and unsent responses, of all connections
     std::uint32_t connections = 20'000;  // open at the same time; further ones are reset on accept
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16'384;
+constexpr std::size_t kKeptBytes = 4 * 1024;  // of an empty buffer
 constexpr Micros kTurnWaitRecheck = 10'000;
 // Parsing, answering and logging a request, in the bytes that are handled in the same time.
 constexpr std::size_t kWorkPerRequest = 4 * net::TurnQueue::kWorkPerMessage;
@@ -43,7 +44,8 @@
           peer_(stream->peer()),
           stream_(std::move(stream)),
           timeout_(server.net_, [this] { onTimeout(); }),
-          turn_(server.turns_, [this] { return process(); }) {
+          turn_(server.turns_, [this] { return process(); }),
+          buffered_(server.buffers_, [this] { onOverMemoryLimit(); }) {
         stream_->setHandler(*this);
         startRequest();
         timeout_.after(server_.limits_.idleTimeout);
@@ -143,7 +145,8 @@
     void startRequest() {
         parser_ = std::make_unique<Parser>(Parser::Kind::Request, server_.limits_,
                                            static_cast<ParserHandler&>(*this));
-        body_.clear();
+        std::string().swap(body_);
+        headBytes_ = 0;
         requestStarted_ = false;
         state_ = State::Reading;
     }
@@ -171,6 +174,7 @@
             processOnce();
         } while (repeat_ && !isClosed() && work_ < net::TurnQueue::kWorkPerTurn);
         processing_ = false;
+        updateBuffered();
         if (repeat_ && !isClosed()) turn_.wait();
         return work_;
     }
@@ -196,8 +200,10 @@
                 timeout_.after(server_.limits_.headTimeout);
             }
             if (!parser_->isHeadDone()) replaceControlCharacters();
+            const bool isHead = !parser_->isHeadDone();
             const Parser::FeedResult result = parser_->feed(in_);
             in_.erase(0, result.used);
+            if (isHead) headBytes_ += result.used;
             if (result.errorStatus) {
                 reject(result.errorStatus, result.why);
                 return;
@@ -269,9 +275,10 @@
             if (written.status == net::IoResult::Status::WouldBlock) break;
         }
         const bool progress = unsent() < before;
+        updateBuffered();
         if (unsent() == 0) {
             out_.clear();
-            if (out_.capacity() > 4 * kReadBytes) out_.shrink_to_fit();
+            if (out_.capacity() > kKeptBytes) out_.shrink_to_fit();
             sent_ = 0;
         } else if (sent_ > out_.size() / 2) {
             out_.erase(0, sent_);
@@ -284,6 +291,25 @@
             exchangeHandler_->onDrained();
     }
 
+    void updateBuffered() {
+        const std::size_t head = headBytes_ + parser_->request().fields.all().size() * sizeof(Field);
+        buffered_.set(isClosed() ? 0 : head + in_.capacity() + body_.capacity() + out_.capacity());
+    }
+
+    // All connections together hold too much, and this one the most.
+    void onOverMemoryLimit() {
+        if (isClosed()) return;
+        const std::string why = "all connections together hold too much unfinished input or unsent output";
+        if (state_ == State::Reading) {
+            reject(503, why);
+            process();
+        } else {
+            server_.handler_.onMalformedRequest(peer_, 503, why);
+            stream_->reset();  // the peer does not read
+            close();
+        }
+    }
+
     void onTimeout() {
         if (isClosed()) return;
         if (turn_.isWaiting()) {  // its input is there, but unread
@@ -303,6 +329,9 @@
         if (isClosed()) return;
         timeout_.cancel();
         turn_.cancel();
+        buffered_.set(0);
+        std::string().swap(out_);
+        sent_ = 0;
         stream_.reset();
         if (ExchangeHandler* handler = std::exchange(exchangeHandler_, nullptr)) handler->onConnectionLost();
         state_ = State::Done;
@@ -319,7 +348,9 @@
     std::unique_ptr<net::Stream> stream_;
     net::Timer timeout_;
     net::TurnQueue::Member turn_;
-    std::size_t work_ = 0;  // in this turn
+    net::BufferBudget::Holder buffered_;
+    std::size_t work_ = 0;       // in this turn
+    std::size_t headBytes_ = 0;  // of the request's head that were parsed
     std::unique_ptr<Parser> parser_;
     std::string in_, out_, body_;
     std::size_t sent_ = 0;
@@ -330,9 +361,12 @@
 };
 
 Server::Server(net::Net& net, const net::Endpoint& endpoint, const HttpLimits& limits, Handler& handler)
-    : net_(net), limits_(limits), handler_(handler), turns_(net), deletion_(net, [this] {
-          closed_.clear();
-      }) {
+    : net_(net),
+      limits_(limits),
+      handler_(handler),
+      turns_(net),
+      buffers_(net, limits.bufferedBytes),
+      deletion_(net, [this] { closed_.clear(); }) {
     listener_ = net_.listen(endpoint, *this);
     endpoint_ = listener_->endpoint();
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "http/message.hpp"
+#include "net/buffer_budget.hpp"
 #include "net/net.hpp"
 #include "net/turn_queue.hpp"
 
@@ -81,6 +82,7 @@
     Handler& handler_;
     net::Endpoint endpoint_;
     net::TurnQueue turns_;  // of connections with more input than one turn handles
+    net::BufferBudget buffers_;
     std::unique_ptr<net::Listener> listener_;
     std::map<std::uint64_t, std::unique_ptr<ServerConnection>> open_;
     std::vector<std::unique_ptr<ServerConnection>> closed_;  // deleted by deletion_: they may be on the stack
--- a/src/net/turn_queue.hpp
+++ b/src/net/turn_queue.hpp
@@ -1,7 +1,8 @@
 // Shares the event loop between connections that have more input than one turn handles (round-robin). A
-// connection handles a limited amount of input when it is readable; if more is left, it waits here for its
-// next turn, while sockets are polled and timers run. The amount is counted in bytes, to which each message
-// adds kWorkPerMessage, since many small messages cost more than a large one.
+// connection handles a little input as soon as it is readable, so that one with a single message waits for
+// nobody; if more is left, it waits here for its turns, while sockets are polled and timers run. The amount
+// is counted in bytes, to which each message adds kWorkPerMessage, since many small messages cost more than a
+// large one.
 #pragma once
 
 #include <cstddef>
@@ -15,6 +16,7 @@
 class TurnQueue {
   public:
     static constexpr std::size_t kWorkPerMessage = 512;
+    static constexpr std::size_t kWorkWhenReadable = 4 * 1024;  // before a connection waits for turns
     static constexpr std::size_t kWorkPerTurn = 16 * 1024;
     static constexpr std::size_t kWorkPerRound =
         128 * 1024;  // of all that wait, in one round of the event loop
--- a/src/node/line_connection.cpp
+++ b/src/node/line_connection.cpp
@@ -14,12 +14,13 @@
 }  // namespace
 
 const char* nameOf(DisconnectReason reason) {
-    static constexpr const char* kNames[] = {"refused", "no connection", "no descriptor", "closed",
-                                             "broken",  "garbled",       "slow"};
+    static constexpr const char* kNames[] = {
+        "refused", "no connection", "no descriptor", "closed",
+        "broken",  "garbled",       "slow",          "over the memory limit"};
     return kNames[static_cast<int>(reason)];
 }
 
-LineConnection::LineConnection(net::Net& net, net::TurnQueue& turns, State state, const Limits& limits,
+LineConnection::LineConnection(net::Net& net, const Shared& shared, State state, const Limits& limits,
                                LineConnectionHandler& handler)
     : net_(net),
       limits_(limits),
@@ -29,7 +30,8 @@
       lastSentAt_(net.now()),
       connectTimer_(net, [this] { disconnect(DisconnectReason::Unreachable); }),
       lineTimer_(net, [this] { onLineTimeout(); }),
-      turn_(turns, [this] { return read(net::TurnQueue::kWorkPerTurn); }) {}
+      turn_(shared.turns, [this] { return read(net::TurnQueue::kWorkPerTurn); }),
+      buffered_(shared.buffers, [this] { disconnect(DisconnectReason::OverMemoryLimit); }) {}
 
 // ================= LingeringCloser =================
 
@@ -39,6 +41,7 @@
         : closer_(closer),
           stream_(std::move(stream)),
           output_(std::move(unsent)),
+          buffered_(closer.buffers_, [this] { closer_.finish(*this); }),
           timeoutTimer_(closer.net_, [this] { closer_.finish(*this); }),
           readTimer_(closer.net_, [this] { onReadable(); }) {
         stream_->setHandler(*this);
@@ -65,6 +68,7 @@
         if (!stream_ || isWriteShut_) return;
         const net::IoResult result = stream_->write(output_);
         output_.erase(0, result.bytes);
+        buffered_.set(output_.size());
         if (result.status == net::IoResult::Status::Broken)
             return readTimer_.soon();  // the next read fails and finishes this entry
         if (!output_.empty()) return;
@@ -75,6 +79,8 @@
     void release() {
         timeoutTimer_.cancel();
         readTimer_.cancel();
+        buffered_.set(0);
+        std::string().swap(output_);
         stream_.reset();
     }
 
@@ -84,11 +90,12 @@
     std::string output_;
     std::size_t discardedBytes_ = 0;
     bool isWriteShut_ = false;
+    net::BufferBudget::Holder buffered_;
     net::Timer timeoutTimer_, readTimer_;
 };
 
-LingeringCloser::LingeringCloser(net::Net& net, const Limits& limits)
-    : net_(net), limits_(limits), deletionTimer_(net, [this] { finished_.clear(); }) {}
+LingeringCloser::LingeringCloser(net::Net& net, net::BufferBudget& buffers, const Limits& limits)
+    : net_(net), buffers_(buffers), limits_(limits), deletionTimer_(net, [this] { finished_.clear(); }) {}
 LingeringCloser::~LingeringCloser() = default;
 
 void LingeringCloser::add(std::unique_ptr<net::Stream> stream, std::string unsent) {
@@ -111,18 +118,18 @@
 
 // ================= LineConnection =================
 
-LineConnection::LineConnection(net::Net& net, net::TurnQueue& turns, std::unique_ptr<net::Stream> stream,
+LineConnection::LineConnection(net::Net& net, const Shared& shared, std::unique_ptr<net::Stream> stream,
                                const Limits& limits, LineConnectionHandler& handler,
                                LingeringCloser& lingering)
-    : LineConnection(net, turns, State::Open, limits, handler) {
+    : LineConnection(net, shared, State::Open, limits, handler) {
     lingering_ = &lingering;
     stream_ = std::move(stream);
     stream_->setHandler(*this);
 }
 
-LineConnection::LineConnection(net::Net& net, net::TurnQueue& turns, const net::Endpoint& endpoint,
+LineConnection::LineConnection(net::Net& net, const Shared& shared, const net::Endpoint& endpoint,
                                Micros connectTimeout, const Limits& limits, LineConnectionHandler& handler)
-    : LineConnection(net, turns, State::Connecting, limits, handler) {
+    : LineConnection(net, shared, State::Connecting, limits, handler) {
     stream_ = net.connect(endpoint, *this);
     connectTimer_.after(connectTimeout);
 }
@@ -147,6 +154,7 @@
     writtenBytes_ += result.bytes;
     output_.erase(0, result.bytes);
     if (output_.empty() && output_.capacity() > 4096) std::string().swap(output_);
+    updateBuffered();
     if (result.status == net::IoResult::Status::Broken || output_.size() > limits_.maxUnsentBytes)
         turn_.wait();
 }
@@ -173,7 +181,7 @@
 
 // A connection whose last turn left input waits for its next one, however often more arrives.
 void LineConnection::onReadable() {
-    if (!turn_.isWaiting()) read(net::TurnQueue::kWorkPerTurn);
+    if (!turn_.isWaiting()) read(net::TurnQueue::kWorkWhenReadable);
 }
 
 void LineConnection::readAvailable() {
@@ -181,8 +189,14 @@
     read(kMaxReadAvailableWork);
 }
 
-// Returns the work that was done; takes a further turn if more input may be left.
 std::size_t LineConnection::read(std::size_t maxWork) {
+    const std::size_t work = readInput(maxWork);
+    updateBuffered();
+    return work;
+}
+
+// Returns the work that was done; takes a further turn if more input may be left.
+std::size_t LineConnection::readInput(std::size_t maxWork) {
     std::size_t work = 0;
     if (state_ != State::Open) return work;
     // Guards against a peer that keeps sending requests and never reads the responses.
@@ -285,6 +299,7 @@
     stream_.reset();
     std::string().swap(input_);
     std::string().swap(output_);
+    buffered_.set(0);
 }
 
 }  // namespace valekeel::node
--- a/src/node/line_connection.hpp
+++ b/src/node/line_connection.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/buffer_budget.hpp"
 #include "net/net.hpp"
 #include "net/turn_queue.hpp"
 
@@ -21,6 +22,7 @@
     Reset,             // by the peer, or a broken connection
     Malformed,         // a line that is too long, or was never completed
     SlowReader,        // too many unsent bytes: the peer doesn't read them
+    OverMemoryLimit,   // all connections together held too much, and this one the most
 };
 // The name in the log.
 const char* nameOf(DisconnectReason);
@@ -46,7 +48,8 @@
         Micros timeout;
         std::size_t maxDiscardedBytes;  // per connection
     };
-    LingeringCloser(net::Net&, const Limits&);
+    // Unsent bytes count towards `buffers`.
+    LingeringCloser(net::Net&, net::BufferBudget& buffers, const Limits&);
     ~LingeringCloser();
     Micros timeout() const { return limits_.timeout; }
     // Takes the stream over and sends `unsent` first.
@@ -58,6 +61,7 @@
     class Draining;
     void finish(Draining&);
     net::Net& net_;
+    net::BufferBudget& buffers_;
     Limits limits_;
     std::list<std::unique_ptr<Draining>> entries_, finished_;
     net::Timer deletionTimer_;
@@ -69,13 +73,18 @@
         std::size_t maxLineBytes, maxUnsentBytes;
         Micros lineTimeout;  // how long a line may stay incomplete
     };
-    // `turns` shares the event loop between connections with much input. An accepted connection. If something
+    // What all connections of one side share: the event loop, and the memory for unfinished and unsent lines.
+    struct Shared {
+        net::TurnQueue& turns;
+        net::BufferBudget& buffers;
+    };
+    // An accepted connection. If something
     // was sent on it lately, `lingering` completes its close.
-    LineConnection(net::Net&, net::TurnQueue& turns, std::unique_ptr<net::Stream>, const Limits&,
+    LineConnection(net::Net&, const Shared&, std::unique_ptr<net::Stream>, const Limits&,
                    LineConnectionHandler&, LingeringCloser& lingering);
     // Opens a connection.
-    LineConnection(net::Net&, net::TurnQueue& turns, const net::Endpoint&, Micros connectTimeout,
-                   const Limits&, LineConnectionHandler&);
+    LineConnection(net::Net&, const Shared&, const net::Endpoint&, Micros connectTimeout, const Limits&,
+                   LineConnectionHandler&);
     ~LineConnection() override;
 
     // Queues a line, which includes its newline, and writes what the kernel takes. Returns the line's offset
@@ -95,7 +104,7 @@
 
   private:
     enum class State { Connecting, Open, Closed };
-    LineConnection(net::Net&, net::TurnQueue&, State, const Limits&, LineConnectionHandler&);
+    LineConnection(net::Net&, const Shared&, State, const Limits&, LineConnectionHandler&);
     void onConnected() override;
     void onConnectFailed(net::ConnectError) override;
     void onReadable() override;
@@ -106,6 +115,8 @@
     enum class CloseMode { Reset, Immediate, Lingering };
     void shutDown(CloseMode);
     std::size_t read(std::size_t maxWork);
+    std::size_t readInput(std::size_t maxWork);
+    void updateBuffered() { buffered_.set(input_.capacity() + output_.capacity()); }
     bool processInput(std::string_view bytes, std::size_t& lines);
 
     net::Net& net_;
@@ -117,6 +128,7 @@
     Micros lastReceivedAt_, lastSentAt_;
     net::Timer connectTimer_, lineTimer_;
     net::TurnQueue::Member turn_;
+    net::BufferBudget::Holder buffered_;
     int lineTimeouts_ = 0;
     std::unique_ptr<net::Stream> stream_, abandonedStream_;
     LingeringCloser* lingering_ = nullptr;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -72,6 +72,23 @@
     return static_cast<std::size_t>(std::min<std::int64_t>(count, 100'000));
 }
 
+// The parts of the process's memory that viewers can fill: buffers of their connections, and set-ups that
+// wait for their answer. Media servers are trusted with less: what is sent to them waits as a set-up until it
+// can leave.
+constexpr std::size_t kViewerMemoryParts = 4, kServerMemoryParts = 16;
+constexpr std::size_t kDefaultMemoryMb = 64;
+
+std::size_t maxMemoryBytes(const Json& configuration, const std::string& file) {
+    const Json& limits = section(configuration, "limits", file);
+    const auto megabytes = limits.contains("memory_mb")
+                               ? setup::integer(limits, "memory_mb", file + ": limits")
+                               : static_cast<std::int64_t>(kDefaultMemoryMb);
+    if (megabytes < 16)
+        setup::throwInvalid(file + ": limits",
+                            "'memory_mb' is " + std::to_string(megabytes) + "; at least 16 is required");
+    return static_cast<std::size_t>(std::min<std::int64_t>(megabytes, 1'000'000)) * 1024 * 1024;
+}
+
 Micros longestTimeout(const Json& settings, const std::string& where) {
     Micros longest = 0;
     for (const Json& room : setup::array(settings, "request_classes", where))
@@ -79,10 +96,12 @@
     return longest;
 }
 
-ServerLimits serverLimits(const Json& settings, std::size_t maxDescriptors, const std::string& where) {
+ServerLimits serverLimits(const Json& settings, std::size_t maxDescriptors, std::size_t maxMemory,
+                          const std::string& where) {
     const Json& allowed = setup::objectAt(settings, "allowed", where);
     ServerLimits limits;
     limits.maxConnections = maxDescriptors / 3;
+    limits.maxBufferedBytes = maxMemory / kServerMemoryParts;
     limits.maxJoinsPerConnection = static_cast<std::size_t>(
         std::clamp<double>(setup::numberOr(allowed, "max_streams", 32, where), 1, 1024));
     if (const Micros timeout = setup::durationOrZero(allowed, "connect_timeout", where); timeout > 0)
@@ -97,9 +116,11 @@
     return limits;
 }
 
-ViewerLimits viewerLimits(const Json& settings, std::size_t maxDescriptors, const std::string& where) {
+ViewerLimits viewerLimits(const Json& settings, std::size_t maxDescriptors, std::size_t maxMemory,
+                          const std::string& where) {
     ViewerLimits limits;
     limits.maxConnections = maxDescriptors / 2;
+    limits.maxBufferedBytes = limits.maxSetupBytes = maxMemory / kViewerMemoryParts;
     limits.maxClientTimeout = 10 * longestTimeout(settings, where);
     return limits;
 }
@@ -154,9 +175,13 @@
           changeLogAddress(changeLogEndpoint(configuration, file)),
           known(parseKnownEvents(section(configuration, "known", file), listNames)),
           viewers(net, endpointAt(configuration, "listen", file),
-                  viewerLimits(settings, maxDescriptors(configuration, file), where),
+                  viewerLimits(settings, maxDescriptors(configuration, file),
+                               maxMemoryBytes(configuration, file), where),
                   setupConstraints(settings, where)),
-          servers(net, serverLimits(settings, maxDescriptors(configuration, file), where), viewers),
+          servers(net,
+                  serverLimits(settings, maxDescriptors(configuration, file),
+                               maxMemoryBytes(configuration, file), where),
+                  viewers),
           core(net, setup::parseRoomTypes(settings, setup::parseLadder(settings, where), where),
                core::CoreLimits{20'000, kAnswerMargin, 0}, kSecond, servers, *this,
                [&](Host& host, Micros now) {
@@ -293,6 +318,7 @@
                  {{"held", core.subscriptionCount()},
                   {"unanswered", core.unansweredCount()},
                   {"conns", viewers.connectionCount()},
+                  {"viewers_held_kb", viewers.heldBytes() / 1024},
                   {"links", servers.connectionCount()},
                   {"out", servers.pendingJoinCount()},
                   {"standing", servers.playingCount()},
@@ -413,6 +439,9 @@
 std::size_t Node::givenUpAttemptCount() const {
     return impl_->servers.givenUpAttemptCount();
 }
+std::size_t Node::viewersHeldBytes() const {
+    return impl_->viewers.heldBytes();
+}
 std::size_t Node::connectionCount() const {
     return impl_->viewers.connectionCount() + impl_->viewers.lingeringCount();
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -30,7 +30,8 @@
     std::size_t tableEntryCount() const;
     // Set-ups with attempts that were given up and may still be reported; kept for a few seconds.
     std::size_t givenUpAttemptCount() const;
-    std::size_t connectionCount() const;  // of viewers, including lingering ones
+    std::size_t viewersHeldBytes() const;  // see Viewers::heldBytes()
+    std::size_t connectionCount() const;   // of viewers, including lingering ones
     // Starts a planned stop: accepts set-ups while they may still arrive, answers all of them, and lets
     // subscriptions play as long as the platform's restart rules allow. Then releases the rest and calls
     // `done` once. Calls during a stop have no effect.
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -76,7 +76,7 @@
           server(&server),
           number(number),
           connectStartedAt(owner.net_.now()),
-          transport(owner.net_, owner.turns_, endpoint,
+          transport(owner.net_, {owner.turns_, owner.buffers_}, endpoint,
                     std::max(owner.limits_.connectTimeout, owner.limits_.probeConnectTimeout), limits,
                     *this) {}
     void onOpen() override;
@@ -162,6 +162,7 @@
       limits_(limits),
       handler_(handler),
       turns_(net),
+      buffers_(net, limits.maxBufferedBytes),
       unclaimedReleases_(UnclaimedReleases::Limits{}),
       deferredTimer_(net,
                      [this] {
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -37,9 +37,10 @@
     Micros minOpenTime = 500'000;             // a connection is kept open for: what is due arrives at once
     Micros revisitInterval = 3'000'000;       // a server without a connection is connected to again after
     std::size_t maxUnsentBytes = 256 * 1024;  // per connection
-    Micros lineTimeout = 400'000;             // how long a line may stay incomplete
-    std::size_t maxQueuedEnds = 512;          // per server; the oldest sent ones are dropped first
-    Micros queuedEndTimeout = 30'000'000;     // an undelivered end is dropped after
+    std::size_t maxBufferedBytes = 16 * 1024 * 1024;  // unfinished and unsent, of all connections
+    Micros lineTimeout = 400'000;                     // how long a line may stay incomplete
+    std::size_t maxQueuedEnds = 512;                  // per server; the oldest sent ones are dropped first
+    Micros queuedEndTimeout = 30'000'000;             // an undelivered end is dropped after
     std::size_t maxUnusedAttempts = 512;      // per server; given-up attempts of set-ups that are over
     Micros unusedAttemptTimeout = 8'000'000;  // such an attempt is forgotten after
 };
@@ -153,7 +154,8 @@
     ServersHandler& handler_;
     std::function<void(const char*, std::string_view)> reportAnomaly_ = [](const char*, std::string_view) {};
     core::Core* core_ = nullptr;
-    net::TurnQueue turns_;  // of connections to media servers
+    net::TurnQueue turns_;  // of connections to media servers, as is the next
+    net::BufferBudget buffers_;
     std::map<SfuId, std::unique_ptr<Server>> servers_;
     std::map<SubId, Session> sessions_;
     std::map<std::string, SubId, std::less<>> byTag_;
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -113,7 +113,7 @@
           key(key),
           acceptedAt(owner.net_.now()),
           transport(
-              owner.net_, owner.turns_, std::move(stream),
+              owner.net_, {owner.turns_, owner.buffers_}, std::move(stream),
               LineConnection::Limits{kMaxLineBytes, owner.limits_.maxUnsentBytes, owner.limits_.lineTimeout},
               *this, owner.lingering_) {}
     // The least useful connection is closed first when room is needed, of equal ones the longest silent.
@@ -122,6 +122,8 @@
     void onLine(std::string_view bytes) override { owner.onLine(*this, bytes); }
     void onDisconnect(DisconnectReason reason) override {
         if (reason == DisconnectReason::Malformed) ++owner.counts_.unreadable;
+        if (reason == DisconnectReason::OverMemoryLimit)
+            owner.reportAnomaly_("a viewer's connection held too much of the memory limit", "");
         owner.onConnectionClosed(*this);
     }
     Viewers& owner;
@@ -152,7 +154,8 @@
       limits_(limits),
       constraints_(std::move(constraints)),
       turns_(net),
-      lingering_(net, {limits.maxConnections, limits.lingerTimeout, limits.maxLingerBytes}),
+      buffers_(net, limits.maxBufferedBytes),
+      lingering_(net, buffers_, {limits.maxConnections, limits.lingerTimeout, limits.maxLingerBytes}),
       deletionTimer_(net, [this] { closedConnections_.clear(); }),
       cleanupTimer_(net, [this] { cleanUp(); }) {}
 Viewers::~Viewers() = default;
@@ -340,6 +343,8 @@
             return;
         }
         Subscription& subscription = subscriptions_[*id];
+        setupRequest.description.clear();  // no join needs it
+        setupRequest.description.shrink_to_fit();
         subscription.request = std::move(setupRequest);
         subscription.connectionKey = connection.key;
         subscription.isPlaying = connection.hasPlayed = true;
@@ -349,8 +354,9 @@
         return;
     }
     ++counts_.setups;
-    const bool isAccepted =
-        !isDraining_ && !connection.isOverflow && connection.openSetups.size() < limits_.maxOpenSetups;
+    const bool isAccepted = !isDraining_ && !connection.isOverflow &&
+                            connection.openSetups.size() < limits_.maxOpenSetups &&
+                            setupBytes_ + setupRequest.description.size() <= limits_.maxSetupBytes;
     const auto id = isAccepted ? core_->subscribe(*this, setup->subscription, setup->timeLeft) : std::nullopt;
     if (!id) {
         connection.transport.send(formatMessage(finishMessage(message.tag, kCauseBusy)));
@@ -359,6 +365,7 @@
     }
     Subscription& subscription = subscriptions_[*id];
     subscription.request = std::move(setupRequest);
+    setupBytes_ += subscription.request.description.size();
     subscription.connectionKey = connection.key;
     byTag_[message.tag] = *id;
     connection.openSetups.insert(*id);
@@ -476,11 +483,15 @@
     answer.tag = it->second.request.tag;
     answer.description = std::move(it->second.answer);
     it->second.answer.clear();
-    it->second.request.description.clear();  // no further join needs it
-    it->second.request.description.shrink_to_fit();
+    discardDescription(it->second);  // no further join needs it
     sendToViewer(id, answer, false);
 }
 
+void Viewers::discardDescription(Subscription& subscription) {
+    setupBytes_ -= subscription.request.description.size();
+    std::string().swap(subscription.request.description);
+}
+
 void Viewers::onThrottled(SubId id, Micros retryAfter) {
     ++counts_.throttled;
     const auto it = subscriptions_.find(id);
@@ -567,6 +578,7 @@
         connection->second->openSetups.erase(id);
         if (it->second.isPlaying && connection->second->playingCount > 0) --connection->second->playingCount;
     }
+    discardDescription(it->second);
     byTag_.erase(it->second.request.tag);
     subscriptions_.erase(it);
 }
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -34,6 +34,8 @@
     Micros confirmationTimeout = kSecond;
     Micros lingerTimeout = kSecond;  // see LingeringCloser
     std::size_t maxLingerBytes = 256 * 1024;
+    std::size_t maxBufferedBytes = 16 * 1024 * 1024;  // unfinished and unsent, of all connections
+    std::size_t maxSetupBytes = 16 * 1024 * 1024;     // of all set-ups without an answer
     Micros endTimeout = 400'000;  // for a media server to confirm the end of what a viewer left
 };
 
@@ -82,6 +84,8 @@
                unconfirmedReleases_.size() + closedConnections_.size();
     }
     std::size_t connectionCount() const { return connections_.size(); }
+    // What viewers fill: unfinished input, unsent output and set-ups without an answer, in bytes.
+    std::size_t heldBytes() const { return buffers_.bytes() + setupBytes_; }
     std::size_t lingeringCount() const { return lingering_.size(); }
     const ViewerCounts& counts() const { return counts_; }
 
@@ -113,6 +117,7 @@
     void sendUndelivered();
     void sendRelease(Connection&, const std::string& tag, const std::string& line);
     void queueRelease(Micros releasedAt, std::string tag, std::string line);
+    void discardDescription(Subscription&);
     bool evictUntilBelow(std::size_t limit, bool includeOverflow);
     void cleanUp();
 
@@ -124,7 +129,8 @@
     core::Core* core_ = nullptr;
     Servers* servers_ = nullptr;
     std::unique_ptr<net::Listener> listener_;
-    net::TurnQueue turns_;       // of viewers' connections
+    net::TurnQueue turns_;  // of viewers' connections, as is the next
+    net::BufferBudget buffers_;
     LingeringCloser lingering_;  // counts towards maxConnections; its connections are closed first
     std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
     std::uint64_t nextConnectionKey_ = 1;
@@ -146,6 +152,7 @@
     std::vector<std::unique_ptr<Connection>> closedConnections_;
     ViewerCounts counts_;
     std::uint64_t lineCount_ = 0;
+    std::size_t setupBytes_ = 0;  // of the set-ups without an answer
     bool isDraining_ = false;
     net::Timer deletionTimer_, cleanupTimer_;
 };
--- a/src/sip/message.cpp
+++ b/src/sip/message.cpp
@@ -392,6 +392,8 @@
     }
 }
 
+constexpr std::size_t kKeptBytes = 4 * 1024;  // of an empty buffer
+
 bool Framer::feed(std::string_view bytes) {
     if (outOfSync_) return false;
     in_ += bytes;
@@ -404,6 +406,7 @@
         const auto from = in_.find_first_not_of("\r\n");
         if (from == std::string::npos) {
             in_.clear();
+            if (in_.capacity() > kKeptBytes) in_.shrink_to_fit();
             return std::nullopt;
         }
         in_.erase(0, from);
--- a/src/sip/message.hpp
+++ b/src/sip/message.hpp
@@ -100,7 +100,7 @@
     bool feed(std::string_view bytes);
     // Returns the next complete message; empty if there is none yet.
     std::optional<std::string> next();
-    std::size_t bufferedBytes() const { return in_.size(); }
+    std::size_t heldBytes() const { return in_.capacity(); }  // of memory
 
   private:
     std::size_t maxMessageBytes_;
--- a/tests/flood_test.cpp
+++ b/tests/flood_test.cpp
@@ -113,6 +113,11 @@
     net::Process process;
     std::unique_ptr<fakes::PlatformConnection> viewer;
     std::map<std::string, Micros> sentAt, playedAfter;  // by tag
+    std::set<std::string> answered;                     // by any response
+    std::vector<int> openSockets;                       // of further clients; closed in the end
+    ~NodeProcess() {
+        for (const int fd : openSockets) ::close(fd);
+    }
     explicit NodeProcess(const std::function<void(Json&)>& configure = [](Json&) {}) {
         std::vector<net::Endpoint> endpoints;
         for (int i = 0; i < 3; ++i) {
@@ -143,6 +148,7 @@
             [this](fakes::PlatformConnection&, const Json& message) {
                 const std::string tag = message.value("tag", "");
                 if (message["verb"] == "STARTED") playedAfter[tag] = net.now() - sentAt[tag];
+                answered.insert(tag);
             });
     }
     void request(int n) {
@@ -319,5 +325,90 @@
     }
 }
 
+// ================= memory =================
+
+constexpr long kKbPerMb = 1024;
+constexpr long kProgramKb = 14 * kKbPerMb;  // of a process without clients, and for what is under way
+
+// Connections that each send the bytes, as far as they are taken within the time, and never read.
+class IdleConnections {
+  public:
+    IdleConnections(Loop& loop, std::uint16_t port, int count, const std::string& bytes) {
+        std::vector<std::size_t> sent(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i) fds_.push_back(connectTo(port, SOCK_STREAM));
+        const Micros end = loop.net.now() + kSecond;
+        while (loop.net.now() < end) {
+            for (std::size_t i = 0; i < fds_.size(); ++i) {
+                const ssize_t taken =
+                    ::send(fds_[i], bytes.data() + sent[i], bytes.size() - sent[i], MSG_NOSIGNAL);
+                sent[i] += taken > 0 ? static_cast<std::size_t>(taken) : 0;
+            }
+            loop.net.runOnce(10'000);
+        }
+    }
+    ~IdleConnections() {
+        for (const int fd : fds_) ::close(fd);
+    }
+
+  private:
+    std::vector<int> fds_;
+};
+
+// Hundreds of clients stop in the middle of a request: all they sent was kept, with no limit but each one's.
+TEST(Flood, UnfinishedRequestsOfManyClientsStayWithinTheMemoryLimit) {
+    ServeProcess front("buffered-mb=4", "buffered-mb=4");
+    const std::string part(60'000, 'x');
+    const IdleConnections http(front, front.httpPort, 300,
+                               "POST /cmcd HTTP/1.1\r\nHost: h\r\nContent-Length: 65000\r\n\r\n" + part);
+    EXPECT_LE(front.process.memoryKb(), kProgramKb + 4 * kKbPerMb) << "HTTP";
+    EXPECT_TRUE(isAnswered(front, front.httpPort, SOCK_STREAM, httpRequest(1)));
+    const IdleConnections sip(front, front.sipPort, 300,
+                              "OPTIONS sip:t@x SIP/2.0\r\nContent-Length: 65000\r\n\r\n" + part);
+    EXPECT_LE(front.process.memoryKb(), kProgramKb + 8 * kKbPerMb) << "SIP";
+    EXPECT_TRUE(isAnswered(front, front.sipPort, SOCK_STREAM, sipRequest("OPTIONS", "TCP", 1)));
+}
+
+// Clients that never read: what was not sent to them was kept.
+TEST(Flood, UnsentResponsesOfManyClientsStayWithinTheMemoryLimit) {
+    ServeProcess front("buffered-mb=4", "buffered-mb=4");
+    std::string requests;
+    for (int i = 0; i < 20'000; ++i) requests += "GET /status HTTP/1.1\r\nHost: h\r\n\r\n";
+    const IdleConnections http(front, front.httpPort, 300, requests);
+    EXPECT_LE(front.process.memoryKb(), kProgramKb + 4 * kKbPerMb);
+    EXPECT_TRUE(isAnswered(front, front.httpPort, SOCK_STREAM, httpRequest(1)));
+}
+
+// The same on the front node, with large set-ups that wait for their answer: within `memory_mb`.
+TEST(Flood, LargeSetupsOfManyClientsStayWithinTheMemoryLimit) {
+    static constexpr int kMemoryMb = 32;
+    NodeProcess node([](Json& configuration) {
+        configuration["limits"]["memory_mb"] = kMemoryMb;
+        configuration["limits"]["sockets"] = 1024;
+    });
+    for (const auto& server : node.servers) server->setupTime = 20 * kSecond;
+    int tag = 1'000;
+    for (int client = 0; client < 200; ++client) {
+        std::string setups;
+        for (int i = 0; i < 20; ++i) {
+            Json setup = NodeFixture<SocketMachines>::startMessage(++tag);
+            setup["blob"] = std::string(15'000, 'x');
+            setups += setup.dump() + "\n";
+        }
+        node.openSockets.push_back(connectTo(node.port, SOCK_STREAM));
+        for (std::size_t sent = 0, tries = 0; sent < setups.size() && tries < 200; ++tries) {
+            const ssize_t taken =
+                ::send(node.openSockets.back(), setups.data() + sent, setups.size() - sent, MSG_NOSIGNAL);
+            sent += taken > 0 ? static_cast<std::size_t>(taken) : 0;
+            node.net.runOnce(1'000);
+        }
+        ASSERT_LE(node.process.memoryKb(), kMemoryMb * kKbPerMb) << client;
+    }
+    for (const auto& server : node.servers) server->setupTime = 0;
+    node.run(4 * kSecond);  // all are answered by then
+    node.connectViewer();
+    node.request(1);
+    EXPECT_TRUE(node.until([&] { return node.answered.count(idOf(1)) > 0; }, kClientTimeout));
+}
+
 }  // namespace
 }  // namespace valekeel
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -316,11 +316,12 @@
     net::VirtualNetwork world{5};
     net::VirtualNode& machine = world.node("here", VirtualMachines::place(0).ip);
     net::TurnQueue turns(machine);
+    net::BufferBudget buffers(machine, 1'000);
     std::vector<std::unique_ptr<node::LineConnection>> connections;
     for (int i = 0; i < 10; ++i) {
-        connections.push_back(
-            std::make_unique<node::LineConnection>(machine, turns, VirtualMachines::place(1), kSecond,
-                                                   node::LineConnection::Limits{100, 100, kSecond}, handler));
+        connections.push_back(std::make_unique<node::LineConnection>(
+            machine, node::LineConnection::Shared{turns, buffers}, VirtualMachines::place(1), kSecond,
+            node::LineConnection::Limits{100, 100, kSecond}, handler));
         connections.back()->close();
     }
     EXPECT_EQ(machine.peakStreamCount(), 1u);
