Node: nothing is sent on for a client that has left; a paid id that comes again runs once

Callers saw: a client closes its connection with much unread, and its set-ups are sent on (110 of 150 over 0.1 s after the close, with a node held up for 0.4 s); a paid id that comes again after its client left ran twice (4 of 4), or its connection was closed without an answer. Causes: the close is learnt only behind the last line; an id was forgotten with its subscription, and one whose first attempt was still out counted as used twice. They share the path on which a viewer gives up, so they are mended together. Change: input is read ahead of the lines that are handled (1 MiB at most), so the close is known, and what is unread is given up; ids of paid set-ups that may have run are kept for 60 s and answered as failed. A peer that does not read gets no lines handled.

--- a/src/net/epoll.cpp
+++ b/src/net/epoll.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
@@ -126,6 +127,11 @@
         fd_ = -1;
     }
     Endpoint peer() const override { return peer_; }
+    bool hasPeerFinished() const override {
+        if (fd_ < 0) return false;
+        pollfd state{fd_, POLLRDHUP, 0};
+        return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR));
+    }
     void setHandler(StreamHandler& handler) override { handler_ = &handler; }
 
   private:
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -51,7 +51,9 @@
     // Writes as much as fits; the bytes that were not written stay with the caller.
     virtual IoResult write(std::string_view) = 0;
     virtual void shutdownWrite() = 0;  // half-close: the peer reads to the end
-    virtual void reset() = 0;          // the peer sees a reset
+    // Whether the peer has closed the connection, or its writing half. What it sent before may be unread.
+    virtual bool hasPeerFinished() const { return false; }
+    virtual void reset() = 0;  // the peer sees a reset
     virtual Endpoint peer() const = 0;
     virtual void setHandler(StreamHandler&) = 0;
 };
--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -93,6 +93,7 @@
     }
     void reset() override { close(true); }
     Endpoint peer() const override { return end_->peerEndpoint; }
+    bool hasPeerFinished() const override { return end_->peerFinished || end_->isBroken; }
     void setHandler(StreamHandler& handler) override { end_->handler = &handler; }
 
   private:
--- a/src/node/line_connection.cpp
+++ b/src/node/line_connection.cpp
@@ -8,7 +8,8 @@
 
 constexpr std::size_t kMaxDiscardedBytesPerTurn = 32 * 1024;  // by a lingering close
 constexpr std::size_t kMaxReadAvailableWork = 512 * 1024;     // some 900 messages
-constexpr std::size_t kReadBytes = 4 * 1024;                  // at once
+constexpr std::size_t kReadBytes = 8 * 1024;                  // at once
+constexpr std::size_t kMaxReadAhead = 1024 * 1024;
 constexpr Micros kLineTimeoutRecheck = 10'000;
 
 }  // namespace
@@ -26,6 +27,7 @@
       limits_(limits),
       handler_(handler),
       state_(state),
+      buffers_(shared.buffers),
       lastReceivedAt_(net.now()),
       lastSentAt_(net.now()),
       connectTimer_(net, [this] { disconnect(DisconnectReason::Unreachable); }),
@@ -176,9 +178,16 @@
 void LineConnection::onWritable() {
     const bool hadUnsent = !output_.empty();
     flush();
+    if (hasWholeLine() || mayHaveUnread_) waitForTurn();
     if (hadUnsent && canSend()) handler_.onDrained();
 }
 
+// A peer that does not read gets no further lines handled until it does: responses to them would take its
+// connection over the limit of unsent bytes.
+void LineConnection::waitForTurn() {
+    if (!isOutputBlocked()) turn_.wait();
+}
+
 // A connection whose last turn left input waits for its next one, however often more arrives.
 void LineConnection::onReadable() {
     if (!turn_.isWaiting()) read(net::TurnQueue::kWorkWhenReadable);
@@ -197,63 +206,78 @@
 
 // Returns the work that was done; takes a further turn if more input may be left.
 std::size_t LineConnection::readInput(std::size_t maxWork) {
-    std::size_t work = 0;
-    if (state_ != State::Open) return work;
+    if (state_ != State::Open) return 0;
     // Guards against a peer that keeps sending requests and never reads the responses.
     if (output_.size() > limits_.maxUnsentBytes) {
         disconnect(DisconnectReason::SlowReader);
-        return work;
+        return 0;
+    }
+    fillInput();
+    if (!isPeerFinished_ && (end_ || stream_->hasPeerFinished())) {
+        isPeerFinished_ = true;
+        handler_.onPeerFinished();
     }
+    const std::size_t work = processLines(maxWork);
+    if (state_ != State::Open) return work;
+    if (hasWholeLine() || mayHaveUnread_)
+        waitForTurn();
+    else if (end_)
+        disconnect(*end_ == DisconnectReason::Closed && !input_.empty() ? DisconnectReason::Malformed
+                                                                        : *end_);
+    return work;
+}
+
+// Reads what has arrived, up to a limit that is larger while little memory is in use.
+void LineConnection::fillInput() {
+    const std::size_t limit =
+        buffers_.bytes() < buffers_.maxBytes() / 4 ? kMaxReadAhead : limits_.maxLineBytes + kReadBytes;
     std::array<char, kReadBytes> buffer;
-    while (work < maxWork) {
+    mayHaveUnread_ = false;
+    while (!end_ && !mayHaveUnread_) {
         const net::IoResult result = stream_->read(buffer);
-        if (result.status == net::IoResult::Status::WouldBlock) return work;
-        if (result.status != net::IoResult::Status::Ready) {
-            disconnect(result.status == net::IoResult::Status::Broken ? DisconnectReason::Reset
-                       : input_.empty()                               ? DisconnectReason::Closed
-                                                                      : DisconnectReason::Malformed);
-            return work;
+        if (result.status == net::IoResult::Status::WouldBlock) return;
+        if (result.status == net::IoResult::Status::Ready) {
+            lastReceivedAt_ = net_.now();
+            input_.append(buffer.data(), result.bytes);
+            mayHaveUnread_ = input_.size() - lineStart_ >= limit;
+        } else {
+            end_ = result.status == net::IoResult::Status::Broken ? DisconnectReason::Reset
+                                                                  : DisconnectReason::Closed;
         }
-        lastReceivedAt_ = net_.now();
-        std::size_t lines = 0;
-        const bool isOpen = processInput(std::string_view(buffer.data(), result.bytes), lines);
-        work += result.bytes + lines * net::TurnQueue::kWorkPerMessage;
-        if (!isOpen) return work;
     }
-    turn_.wait();
-    return work;
 }
 
-// Splits input into lines and adds their number to `lines`. Returns false once the connection is closed.
-bool LineConnection::processInput(std::string_view bytes, std::size_t& lines) {
-    while (!bytes.empty()) {
-        const auto end = bytes.find('\n');
-        if (input_.size() + std::min(end, bytes.size()) > limits_.maxLineBytes) {
+// Passes whole lines to the handler, up to about `maxWork`, and returns the work done.
+std::size_t LineConnection::processLines(std::size_t maxWork) {
+    std::size_t work = 0;
+    std::string input = std::exchange(input_, {});  // the handler may close this connection
+    std::size_t start = std::exchange(lineStart_, 0);
+    std::size_t end = input.find('\n', start);
+    while (state_ == State::Open && end != std::string::npos && work < maxWork && !isOutputBlocked()) {
+        if (end - start > limits_.maxLineBytes) {
             disconnect(DisconnectReason::Malformed);
-            return false;
-        }
-        if (end == std::string_view::npos) {
-            if (input_.empty()) {
-                lineTimeouts_ = 0;
-                lineTimer_.after(limits_.lineTimeout);
-            }
-            input_ += bytes;
-            return true;
-        }
-        ++lines;
-        if (input_.empty()) {
-            handler_.onLine(bytes.substr(0, end));
-        } else {
-            lineTimer_.cancel();
-            std::string complete;
-            complete.swap(input_);
-            complete += bytes.substr(0, end);
-            handler_.onLine(complete);
+            return work;
         }
-        if (state_ != State::Open) return false;
-        bytes.remove_prefix(end + 1);
+        lineTimer_.cancel();
+        handler_.onLine(std::string_view(input).substr(start, end - start));
+        work += end + 1 - start + net::TurnQueue::kWorkPerMessage;
+        start = end + 1;
+        end = input.find('\n', start);
     }
-    return true;
+    if (state_ != State::Open) return work;
+    if (end == std::string::npos && input.size() - start > limits_.maxLineBytes) {
+        disconnect(DisconnectReason::Malformed);
+        return work;
+    }
+    if (end == std::string::npos && start < input.size() && !lineTimer_.isSet()) {
+        lineTimeouts_ = 0;
+        lineTimer_.after(limits_.lineTimeout);
+    }
+    if (start == input.size()) return work;
+    if (start > input.size() / 2) input.erase(0, std::exchange(start, 0));
+    input_ = std::move(input);
+    lineStart_ = start;
+    return work;
 }
 
 // The rest of the line may be unread: a process that was not scheduled for a while runs its timers before it
@@ -298,6 +322,7 @@
     lineTimer_.cancel();
     stream_.reset();
     std::string().swap(input_);
+    lineStart_ = 0;
     std::string().swap(output_);
     buffered_.set(0);
 }
--- a/src/node/line_connection.hpp
+++ b/src/node/line_connection.hpp
@@ -1,10 +1,11 @@
-// One TCP connection that carries newline-terminated lines, accepted or opened. Reads a bounded amount per
-// turn of the event loop, so that a busy peer does not starve the others; buffers at most one incomplete line
-// and a limited number of unsent bytes.
+// One TCP connection that carries newline-terminated lines, accepted or opened. Handles a bounded number of
+// lines per turn of the event loop, so that a busy peer does not starve the others, but reads ahead of them,
+// to learn early that the peer has left. Buffers a limited amount of input and of unsent bytes.
 #pragma once
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,9 @@
     // Called for each line, without its newline. Here and in onDisconnect() the handler may close the
     // connection but must not destroy it before the call returns.
     virtual void onLine(std::string_view) = 0;
+    // The peer has closed the connection, or its writing half: what is unread was sent before. At most once,
+    // before the lines that are left and onDisconnect().
+    virtual void onPeerFinished() {}
     virtual void onDisconnect(DisconnectReason) = 0;  // at most once, and not after close()
 };
 
@@ -116,20 +120,29 @@
     void shutDown(CloseMode);
     std::size_t read(std::size_t maxWork);
     std::size_t readInput(std::size_t maxWork);
+    void fillInput();
+    void waitForTurn();
+    bool isOutputBlocked() const { return !isPeerFinished_ && output_.size() > limits_.maxUnsentBytes / 2; }
+    std::size_t processLines(std::size_t maxWork);
+    bool hasWholeLine() const { return input_.find('\n', lineStart_) != std::string::npos; }
     void updateBuffered() { buffered_.set(input_.capacity() + output_.capacity()); }
-    bool processInput(std::string_view bytes, std::size_t& lines);
 
     net::Net& net_;
     Limits limits_;
     LineConnectionHandler& handler_;
     State state_;
+    const net::BufferBudget& buffers_;
     std::string input_, output_;
+    std::size_t lineStart_ = 0;            // in input_, of the first line that the handler has not got
+    bool mayHaveUnread_ = false;           // the stream, as reading stopped at its limit
+    std::optional<DisconnectReason> end_;  // of the stream, behind what input_ holds
     std::uint64_t queuedBytes_ = 0, writtenBytes_ = 0;  // in total
     Micros lastReceivedAt_, lastSentAt_;
     net::Timer connectTimer_, lineTimer_;
     net::TurnQueue::Member turn_;
     net::BufferBudget::Holder buffered_;
     int lineTimeouts_ = 0;
+    bool isPeerFinished_ = false;  // and the handler knows
     std::unique_ptr<net::Stream> stream_, abandonedStream_;
     LingeringCloser* lingering_ = nullptr;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -128,8 +128,10 @@
 SetupConstraints setupConstraints(const Json& settings, const std::string& where) {
     SetupConstraints constraints;
     const Ladder ladder = setup::parseLadder(settings, where);
-    for (const RoomType& room : setup::parseRoomTypes(settings, ladder, where))
+    for (const RoomType& room : setup::parseRoomTypes(settings, ladder, where)) {
         constraints.roomNames.push_back(room.name);
+        constraints.isPaid.push_back(room.paid);
+    }
     constraints.rungCount = static_cast<int>(ladder.kb.size());
     constraints.cellCount = setup::parseFleet(settings, setup::parseNames(settings, where), where).cells;
     return constraints;
@@ -297,6 +299,7 @@
     }
     void onJoinEnded(SubId id, int joinNo, SfuId server, const core::JoinOutcome& outcome) override {
         ++joinResults[static_cast<std::size_t>(outcome.result)];
+        if (!outcome.neverRan) viewers.onJoinMayHaveRun(id);
         if (outcome.result != JoinResult::Played && log.isEnabled(logging::Level::Debug))
             writeLog(logging::Level::Debug, "join ended",
                      {{"sub", id.v},
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -43,6 +43,8 @@
 constexpr Micros kCleanupInterval = 100'000;
 // A message received this long after a FINISH was sent on the same connection shows that it was read.
 constexpr Micros kEndDeliveredAfter = 2 * kSecond;
+constexpr std::size_t kMaxUnclaimedReleases = 4'096;
+constexpr Micros kUnclaimedReleaseLifetime = 30 * kSecond;  // hand-overs come in the first seconds
 constexpr Micros kMaxConnectBackoff = 2 * kSecond;
 constexpr std::ptrdiff_t kMaxProbesAtLimit = 2;  // connects under way to one server
 
@@ -163,7 +165,7 @@
       handler_(handler),
       turns_(net),
       buffers_(net, limits.maxBufferedBytes),
-      unclaimedReleases_(UnclaimedReleases::Limits{}),
+      unclaimedReleases_({kMaxUnclaimedReleases, kUnclaimedReleaseLifetime}),
       deferredTimer_(net,
                      [this] {
                          std::deque<DeferredOutcome> outcomes;
@@ -663,10 +665,12 @@
     byTag_[session.tag] = id;
     if (server->playing.empty()) server->lastReceivedAt = net_.now();
     server->playing.insert(id);
-    if (const auto release = unclaimedReleases_.take(session.tag, serverId)) {
-        handler_.onPlaybackEnded(id, resultOfPlayback(release->cause), release->cause, release->load);
-        forget(id);
-    }
+    const UnclaimedRelease* found = unclaimedReleases_.find(session.tag);
+    if (!found || found->server != serverId) return;
+    const UnclaimedRelease release = *found;
+    unclaimedReleases_.remove(session.tag);
+    handler_.onPlaybackEnded(id, resultOfPlayback(release.cause), release.cause, release.load);
+    forget(id);
 }
 
 void Servers::forget(SubId id) {
@@ -707,8 +711,8 @@
 void Servers::onUnknownTag(Server& server, const Message& message) {
     ++counts_.unknown;
     if (message.verb == "FINISH" && !byTag_.count(message.tag) && isValidTag(message.tag))
-        unclaimedReleases_.add(message.tag,
-                               {server.id, message.cause.value_or(0), parseLoadReport(message), net_.now()});
+        unclaimedReleases_.add(message.tag, {server.id, message.cause.value_or(0), parseLoadReport(message)},
+                               net_.now());
     reportAnomaly_("about no subscription held there", formatMessage(message));
 }
 
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -16,9 +16,9 @@
 
 #include "core/core.hpp"
 #include "node/attempt_history.hpp"
+#include "node/expiring_map.hpp"
 #include "node/line_connection.hpp"
 #include "node/message.hpp"
-#include "node/unclaimed_releases.hpp"
 
 namespace valekeel::node {
 
@@ -159,7 +159,14 @@
     std::map<SfuId, std::unique_ptr<Server>> servers_;
     std::map<SubId, Session> sessions_;
     std::map<std::string, SubId, std::less<>> byTag_;
-    UnclaimedReleases unclaimedReleases_;
+    // Releases of sessions that are not held here: one may be handed over after its release. A media server
+    // sends that as soon as a connection is open, and only once.
+    struct UnclaimedRelease {
+        SfuId server;
+        int cause;
+        LoadReport load;
+    };
+    ExpiringMap<UnclaimedRelease> unclaimedReleases_;
     // An outcome that is reported in the next turn, as join() must not call the core.
     struct DeferredOutcome {
         SubId id;
--- a/src/node/viewers.cpp
+++ b/src/node/viewers.cpp
@@ -12,6 +12,9 @@
 constexpr int kCauseBusy = 42, kCauseFailed = 41, kCauseUnusable = 95, kCauseTimedOut = 110;
 constexpr Micros kCleanupInterval = 100'000;
 constexpr double kMaxHintMs = 1e10;
+// Repeated set-ups come within the client timeout of the first.
+constexpr std::size_t kMaxSpentPaidTags = 16'384;
+constexpr Micros kSpentPaidTagLifetime = 60 * kSecond;
 constexpr int kMaxUnusableSetups = 4;  // per connection; then it is closed
 
 // Parses a list such as "home:4;copies:3;top:4". Returns nothing if a field has no colon.
@@ -120,6 +123,10 @@
     auto usefulness() const { return std::tuple(hasPlayed, hasSetup, isProven, transport.lastReceivedAt()); }
     bool isNeeded() const { return !openSetups.empty() || playingCount > 0; }
     void onLine(std::string_view bytes) override { owner.onLine(*this, bytes); }
+    void onPeerFinished() override {
+        hasPeerFinished = true;
+        owner.giveUpOpenSetups(*this);
+    }
     void onDisconnect(DisconnectReason reason) override {
         if (reason == DisconnectReason::Malformed) ++owner.counts_.unreadable;
         if (reason == DisconnectReason::OverMemoryLimit)
@@ -132,6 +139,7 @@
     // It has brought a usable message; a set-up; a subscription that played.
     bool isProven = false, hasSetup = false, hasPlayed = false;
     bool wasSilent = false;        // at the last cleanup
+    bool hasPeerFinished = false;  // the viewer has closed it: what is unread was sent before
     bool isOverflow = false;       // accepted without room: its set-ups are refused
     std::set<SubId> openSetups;    // without an answer
     int unusableCount = 0;         // set-ups
@@ -142,8 +150,10 @@
 struct Viewers::Subscription {
     SetupRequest request;
     std::uint64_t connectionKey = 0;  // of the connection that it was set up on, which may be closed
-    bool isPlaying = false, isLeaving = false, isGone = false;
-    std::string answer;                    // the media server's description, until it is passed on
+    bool isPaid = false, mayHaveRun = false;
+    bool isPlaying = false, isLeaving = false;
+    bool isGivenUp = false;  // by its viewer, before the answer; the end of its attempt is awaited
+    std::string answer;      // the media server's description, until it is passed on
     std::unique_ptr<net::Timer> endTimer;  // the viewer left: the media server has until then to confirm
 };
 
@@ -156,6 +166,7 @@
       turns_(net),
       buffers_(net, limits.maxBufferedBytes),
       lingering_(net, buffers_, {limits.maxConnections, limits.lingerTimeout, limits.maxLingerBytes}),
+      spentPaidTags_({kMaxSpentPaidTags, kSpentPaidTagLifetime}),
       deletionTimer_(net, [this] { closedConnections_.clear(); }),
       cleanupTimer_(net, [this] { cleanUp(); }) {}
 Viewers::~Viewers() = default;
@@ -221,8 +232,6 @@
 
 // A viewer that closes its connection has given up its open set-ups.
 void Viewers::onConnectionClosed(Connection& connection) {
-    const std::set<SubId> openSetups = std::move(connection.openSetups);
-    connection.openSetups.clear();
     const auto it = connections_.find(connection.key);
     if (it == connections_.end()) return;
     closedConnections_.push_back(std::move(it->second));
@@ -236,8 +245,14 @@
         queueRelease(release->second.sentAt, release->first, std::move(release->second.line));
         release = unconfirmedReleases_.erase(release);
     }
+    giveUpOpenSetups(connection);
+}
+
+void Viewers::giveUpOpenSetups(Connection& connection) {
+    const std::set<SubId> openSetups = std::exchange(connection.openSetups, {});
     for (const SubId id : openSetups) {
         ++counts_.givenUp;
+        if (const auto it = subscriptions_.find(id); it != subscriptions_.end()) it->second.isGivenUp = true;
         core_->unsubscribe(id);
     }
 }
@@ -261,6 +276,7 @@
         counts_.silent += !connection->isProven;
         closeConnection(*connection);
     }
+    spentPaidTags_.expire(now);
     sendUndelivered();
     while (!undeliveredReleases_.empty() &&
            now - undeliveredReleases_.front().releasedAt > limits_.releaseTimeout) {
@@ -318,6 +334,7 @@
     const auto known = byTag_.find(message.tag);
     if (known != byTag_.end()) {
         if (setup && setup->playingOn) return;  // handed over again
+        if (subscriptions_.at(known->second).isGivenUp) return refuseRepeated(connection, message);
         // Two set-ups with one tag: an answer would be ambiguous, so neither is served. The first continues
         // if it came on another connection, so that nobody can end it by guessing its tag.
         ++counts_.duplicateTags;
@@ -330,7 +347,9 @@
         return closeConnection(connection);
     }
     if (!setup) return rejectUnusable(connection, message, why);
+    if (connection.hasPeerFinished && !setup->playingOn) return;  // given up already
     connection.isProven = connection.hasSetup = true;
+    if (!setup->playingOn && spentPaidTags_.find(message.tag)) return refuseRepeated(connection, message);
     SetupRequest setupRequest{message.tag, *message.textOption("class"), *message.textOption("key"),
                               *message.description};
     if (setup->playingOn) {
@@ -367,11 +386,24 @@
     subscription.request = std::move(setupRequest);
     setupBytes_ += subscription.request.description.size();
     subscription.connectionKey = connection.key;
+    subscription.isPaid = constraints_.isPaid[setup->subscription.room.v];
     byTag_[message.tag] = *id;
     connection.openSetups.insert(*id);
     core_->start(*id);
 }
 
+// A paid set-up comes again after its viewer gave it up, and its first attempt may have run: it must not run
+// twice. It has failed; a refusal would say that it never ran.
+void Viewers::refuseRepeated(Connection& connection, const Message& message) {
+    ++counts_.duplicateTags;
+    connection.isProven = connection.hasSetup = true;
+    connection.transport.send(formatMessage(finishMessage(message.tag, kCauseFailed)));
+}
+
+void Viewers::onJoinMayHaveRun(SubId id) {
+    if (const auto it = subscriptions_.find(id); it != subscriptions_.end()) it->second.mayHaveRun = true;
+}
+
 void Viewers::onFinishMessage(Connection& connection, const Message& message) {
     const auto known = byTag_.find(message.tag);
     if (known == byTag_.end()) {
@@ -387,6 +419,7 @@
         ++counts_.givenUp;
         if (const auto it = connections_.find(subscription.connectionKey); it != connections_.end())
             it->second->openSetups.erase(id);
+        subscription.isGivenUp = true;
         core_->unsubscribe(id);
         return;
     }
@@ -579,6 +612,8 @@
         if (it->second.isPlaying && connection->second->playingCount > 0) --connection->second->playingCount;
     }
     discardDescription(it->second);
+    if (it->second.isPaid && it->second.mayHaveRun)
+        spentPaidTags_.add(it->second.request.tag, MayHaveRun{}, net_.now());
     byTag_.erase(it->second.request.tag);
     subscriptions_.erase(it);
 }
--- a/src/node/viewers.hpp
+++ b/src/node/viewers.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/core.hpp"
+#include "node/expiring_map.hpp"
 #include "node/line_connection.hpp"
 #include "node/message.hpp"
 #include "node/servers.hpp"
@@ -49,6 +50,7 @@
 // The values that a set-up may use, from the platform's settings.
 struct SetupConstraints {
     std::vector<std::string> roomNames;  // by RoomTypeId
+    std::vector<bool> isPaid;            // by RoomTypeId
     int cellCount = 1, rungCount = 1;
 };
 
@@ -69,6 +71,7 @@
     void listen();
     net::Endpoint endpoint() const { return endpoint_; }  // after listen(): with the actual port
     void forget(SubId);                                   // the core no longer holds it
+    void onJoinMayHaveRun(SubId);  // an attempt of the set-up ended, and its media server may have run it
     // The steps of a planned stop. The first releases all that plays, to its viewer and at its media server,
     // which has endTimeout to confirm; from then on set-ups are refused.
     void releaseAll();
@@ -111,6 +114,8 @@
     void endPlayback(SubId, Subscription&);
     void rejectUnusable(Connection&, const Message&, const char* why);
     void onConnectionClosed(Connection&);
+    void giveUpOpenSetups(Connection&);
+    void refuseRepeated(Connection&, const Message&);
     void closeConnection(Connection&);
     void sendToViewer(SubId, const Message&, bool isRelease);
     void release(SubId, int cause);
@@ -136,6 +141,8 @@
     std::uint64_t nextConnectionKey_ = 1;
     std::map<SubId, Subscription> subscriptions_;
     std::map<std::string, SubId, std::less<>> byTag_;
+    struct MayHaveRun {};
+    ExpiringMap<MayHaveRun> spentPaidTags_;  // of paid set-ups that are over: they must not run again
     // A release whose own connection is closed.
     struct UndeliveredRelease {
         Micros releasedAt;
--- a/tests/flood_test.cpp
+++ b/tests/flood_test.cpp
@@ -202,6 +202,43 @@
     }
 }
 
+// A client closes its connection with much still unread, as the process has no turn for a while: its requests
+// were sent on afterwards.
+TEST(Flood, RequestsOfAClientThatHasLeftAreNotSent) {
+    for (const std::size_t blobBytes : {100, 14'000}) {
+        NodeProcess node;
+        node.requestFor(kSecond);
+        const auto setupCount = [&] {
+            std::size_t count = 0;
+            for (const auto& server : node.servers) count += server->setups.size();
+            return count;
+        };
+        const std::size_t before = setupCount();
+        std::string setups;
+        for (int n = 0; n < 100; ++n) {
+            Json setup =
+                NodeFixture<SocketMachines>::startMessage(5'000 + n, "talk", "u" + std::to_string(n));
+            setup["blob"] = std::string(blobBytes, 'x');
+            setups += setup.dump() + "\n";
+        }
+        node.process.pause();
+        const int fd = connectTo(node.port, SOCK_STREAM);
+        const int bufferBytes = 4 * 1024 * 1024;
+        ::setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bufferBytes, sizeof bufferBytes);
+        std::size_t sent = 0;
+        for (int tries = 0; tries < 50 && sent < setups.size(); ++tries) {
+            const ssize_t taken = ::send(fd, setups.data() + sent, setups.size() - sent, MSG_NOSIGNAL);
+            sent += taken > 0 ? static_cast<std::size_t>(taken) : 0;
+            node.run(1'000);
+        }
+        ::close(fd);
+        node.run(200'000);
+        node.process.resume();
+        node.run(kSecond);
+        EXPECT_EQ(setupCount(), before) << blobBytes << " bytes each, " << sent << " bytes written";
+    }
+}
+
 // ================= HTTP and SIP =================
 
 // `valekeel serve` as a process, without media servers.
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -448,5 +448,63 @@
     EXPECT_EQ(fixture.responses(1), "16");
 }
 
+// ================= viewers that have left =================
+
+// A paid set-up comes again with its id after its viewer left: it ran twice, or its connection was closed
+// without an answer.
+TEST(NodeViewers, PaidSetupThatComesAgainAfterItsViewerLeftRunsOnce) {
+    for (const Micros pause : {10'000, 50'000, 150'000, 500'000, 5'000'000}) {
+        VirtualNodeFixture fixture;
+        for (const auto& server : fixture.servers) server->setupTime = 200'000;
+        const auto leaving = fixture.connectViewer();
+        leaving->send(VirtualNodeFixture::startMessage(1, "paid"));
+        fixture.run(100'000);
+        ASSERT_EQ(fixture.setupCount(1), 1) << pause;
+        leaving->close(false);
+        fixture.run(pause);
+        fixture.viewer = fixture.connectViewer();
+        fixture.request(1, "paid");
+        fixture.run(2 * kSecond);
+        EXPECT_EQ(fixture.setupCount(1), 1) << pause;
+        EXPECT_EQ(fixture.responses(1), "41") << pause;  // failed: a refusal would say that it never ran
+        EXPECT_EQ(fixture.serverPlaying(1), nullptr) << pause;
+        fixture.request(2, "paid");
+        fixture.run(kSecond);
+        EXPECT_EQ(fixture.responses(2), "+") << pause;
+    }
+}
+
+// The same after it has played and come to its end.
+TEST(NodeViewers, PaidSetupThatHasPlayedDoesNotRunAgain) {
+    VirtualNodeFixture fixture;
+    fixture.request(1, "paid");
+    fixture.run(kSecond);
+    ASSERT_EQ(fixture.responses(1), "+");
+    fixture.serverPlaying(1)->end(idOf(1), 16);
+    fixture.run(kSecond);
+    fixture.request(1, "paid");
+    fixture.run(kSecond);
+    EXPECT_EQ(fixture.setupCount(1), 1);
+    EXPECT_EQ(fixture.responses(1), "+ 16 41");
+}
+
+// One that provably never ran may come again.
+TEST(NodeViewers, PaidSetupThatNeverRanMayComeAgain) {
+    VirtualNodeFixture fixture;
+    for (const auto& server : fixture.servers)
+        server->reaction = [](const std::string&) { return SetupReaction::RefuseFull; };
+    fixture.request(1, "paid");
+    fixture.run(4 * kSecond);
+    ASSERT_NE(fixture.responses(1), "");
+    fixture.messages.clear();
+    for (const auto& server : fixture.servers)
+        server->reaction = [](const std::string&) { return SetupReaction::Play; };
+    fixture.run(20 * kSecond);  // the media servers count as usable again
+    fixture.viewer = fixture.connectViewer();
+    fixture.request(1, "paid");
+    fixture.run(kSecond);
+    EXPECT_EQ(fixture.responses(1), "+");
+}
+
 }  // namespace
 }  // namespace valekeel
