An address belongs to the media server that was told last; pooled connections keep to theirs

Cause: both ids were kept with one address; a connection that was busy during a move went back to the pool. Evidence: a set-up that only the old one's cell may have arrives at the new one; the second request after a move arrives at the old address. Change: discovery::replacedServers ends the first, for the node, HTTP and SIP; a connection is used again for its address only.

--- a/src/discovery/server_list.cpp
+++ b/src/discovery/server_list.cpp
@@ -123,4 +123,21 @@
     return settings::printKdl(nodes);
 }
 
+std::vector<ServerListEntry> replacedServers(std::span<const ServerListEntry> listed,
+                                             std::span<const ServerListEntry> changed) {
+    std::set<SfuId> named;
+    std::set<net::Endpoint> taken;
+    for (const ServerListEntry& entry : changed) {
+        named.insert(entry.sfu.id);
+        if (entry.sfu.state != ServerState::Off && entry.endpoint.port != 0) taken.insert(entry.endpoint);
+    }
+    std::vector<ServerListEntry> replaced;
+    for (const ServerListEntry& entry : listed) {
+        if (named.count(entry.sfu.id) || !taken.count(entry.endpoint)) continue;
+        replaced.push_back(entry);
+        replaced.back().sfu.state = ServerState::Off;
+    }
+    return replaced;
+}
+
 }  // namespace valekeel::discovery
--- a/src/discovery/server_list.hpp
+++ b/src/discovery/server_list.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,11 @@
 // settings::SettingsError if the text is malformed, inconsistent or over a limit.
 ServerList parseServerList(const std::string& file, const std::string& text, const ListNames&,
                            const ServerListLimits&);
+// Returns the listed servers, as off, that a change does not name but whose address it gives to others: an
+// address belongs to the process that was told last, even if the end of the earlier one is told later or
+// never.
+std::vector<ServerListEntry> replacedServers(std::span<const ServerListEntry> listed,
+                                             std::span<const ServerListEntry> changed);
 std::string formatServerList(const ServerList&, const ListNames&);
 
 }  // namespace valekeel::discovery
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -463,7 +463,10 @@
         updateCurrentList(entries, true);
         restoreEvidence();
     }
-    void onListChange(const std::vector<discovery::ServerListEntry>& entries) override {
+    void onListChange(const std::vector<discovery::ServerListEntry>& changed) override {
+        std::vector<discovery::ServerListEntry> entries =
+            discovery::replacedServers(currentList.servers, changed);
+        entries.insert(entries.end(), changed.begin(), changed.end());
         writeLog(logging::Level::Info, "list-changed", {{"boxes", entries.size()}});
         core->onServerListChange(acceptEntries(entries));
         updateCurrentList(entries, false);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -213,8 +213,19 @@
     Micros toMonotonic(Micros unixTime) const {
         return unixTime <= 0 ? 0 : std::max<Micros>(1, net.now() - (net.wallNow() - unixTime));
     }
+    // Removes the listed servers whose address the event gives to others, and returns them as off.
+    std::vector<SfuEntry> takeReplaced(const ChangeEvent& event) {
+        std::vector<discovery::ServerListEntry> all;
+        for (const auto& [id, server] : listed) all.push_back({server.entry, server.endpoint});
+        std::vector<SfuEntry> replaced;
+        for (const discovery::ServerListEntry& server : discovery::replacedServers(all, event.entries)) {
+            listed.erase(server.sfu.id);
+            replaced.push_back(server.sfu);
+        }
+        return replaced;
+    }
     void applyEvent(const ChangeEvent& event, bool isStale) {
-        std::vector<SfuEntry> entries;
+        std::vector<SfuEntry> entries = takeReplaced(event);
         std::vector<std::pair<SfuId, Micros>> restarted;
         std::set<SfuId> present;
         for (const discovery::ServerListEntry& listEntry : event.entries) {
@@ -234,7 +245,7 @@
             if (entry.state == ServerState::Off)
                 listed.erase(entry.id);
             else
-                listed[entry.id] = {entry, started};
+                listed[entry.id] = {entry, started, listEntry.endpoint};
         }
         std::vector<SfuId> removed;
         if (event.isFullList) {
@@ -408,6 +419,7 @@
     struct Listed {
         SfuEntry entry;      // `launched` on the loop's clock
         Micros started = 0;  // as received, in Unix microseconds
+        net::Endpoint endpoint;
     };
     std::map<SfuId, Listed> listed;
     bool isCurrent = false;
--- a/src/upstream/upstream_client.cpp
+++ b/src/upstream/upstream_client.cpp
@@ -6,6 +6,7 @@
 
 struct UpstreamClient::PooledConnection {
     std::unique_ptr<http::Connection> connection;
+    net::Endpoint address;  // of the server when it was opened
     bool busy = false;
 };
 
@@ -127,7 +128,8 @@
         connection_ = nullptr;
         const auto it = server_->connections.find(id_);
         if (it == server_->connections.end()) return;
-        if (keep && it->second.connection->isIdle()) {
+        // After a move another process may have the old address: its connections are not used again.
+        if (keep && it->second.connection->isIdle() && it->second.address == server_->address) {
             it->second.busy = false;
             server_->reuse.onIdle(client_.net_.now(), id_);
         } else {
@@ -282,6 +284,7 @@
         PooledConnection& pooled = server.connections[id];
         pooled.connection =
             std::make_unique<http::Connection>(net_, server.address, httpLimits_, limits_.connectTimeout);
+        pooled.address = server.address;
         pooled.busy = true;
         server.reuse.onOpened(id);
         next->useConnection(id, *pooled.connection, false);
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -17,6 +17,21 @@
 
 const std::vector<std::string> kKinds{"small", "large"};
 
+// A new process at the address of one whose end is told later, or never, was taken for both.
+TEST(ServerList, ServerAtTheAddressOfAnotherReplacesIt) {
+    const ListNames names({"small"});
+    const auto parse = [&](const std::string& text) { return parseServerList("t", text, names, {}).servers; };
+    const auto listed = parse("box 1 at=\"127.0.0.1:1\"\nbox 2 at=\"127.0.0.1:2\"");
+    const auto replaced = replacedServers(listed, parse("box 3 at=\"127.0.0.1:1\""));
+    ASSERT_EQ(replaced.size(), 1u);
+    EXPECT_EQ(replaced[0].sfu.id, SfuId{1});
+    EXPECT_EQ(replaced[0].sfu.state, ServerState::Off);
+    EXPECT_TRUE(replacedServers(listed, parse("box 1 at=\"127.0.0.1:1\"\nbox 3 at=\"127.0.0.1:3\"")).empty());
+    // Two that change places: both are named.
+    EXPECT_TRUE(replacedServers(listed, parse("box 1 at=\"127.0.0.1:2\"\nbox 2 at=\"127.0.0.1:1\"")).empty());
+    EXPECT_TRUE(replacedServers(listed, parse("box 3 at=\"127.0.0.1:1\" standing=\"off\"")).empty());
+}
+
 TEST(ServerList, AcceptsOnlyZonesOfTheSettings) {
     const ListNames names({"small"}, {"east", "west"});
     const ServerList read =
--- a/tests/node_servers_test.cpp
+++ b/tests/node_servers_test.cpp
@@ -353,6 +353,38 @@
     EXPECT_GE(fixture.servers[0]->connectionCount, 2);
 }
 
+// A new media server comes up at the address of one that is gone, whose end is told later: set-ups for the
+// old one went to the new one, which must not get them, and sessions of the old one were taken to stand.
+TEST(NodeServers, ServerAtTheAddressOfAnotherReplacesIt) {
+    for (const bool isFullList : {false, true}) {
+        VirtualNodeFixture fixture(1);
+        fakes::PlatformServer& server = *fixture.servers[0];
+        fixture.request(1);
+        fixture.run(kSecond);
+        ASSERT_EQ(fixture.responses(1), "+");
+        server.playing.clear();  // from here on it is the new process
+        server.resetConnections();
+        const std::size_t setupsBefore = server.setups.size();
+        const int otherCell = 1;
+        fixture.changeLog->add({{7, server.endpoint(), 0, otherCell}}, isFullList);
+        fixture.run(500'000);
+        EXPECT_EQ(fixture.responses(1), "+ 41");
+        Json setup = VirtualNodeFixture::startMessage(2);
+        setup["opts"]["extras"] = "home:0;copies:1;top:2";  // only in the cell of the old one
+        fixture.viewer->send(setup);
+        fixture.run(4 * kSecond);
+        EXPECT_EQ(server.setups.size(), setupsBefore);
+        setup = VirtualNodeFixture::startMessage(3);
+        fixture.viewer->send(setup);
+        fixture.run(kSecond);
+        EXPECT_EQ(fixture.responses(3), "+");
+        fixture.changeLog->add({{0, server.endpoint(), 2, 0}});  // the end of the old one, told late
+        fixture.run(kSecond);
+        EXPECT_EQ(fixture.responses(3), "+");
+        EXPECT_EQ(server.playing.count(idOf(3)), 1u);
+    }
+}
+
 // Ends one subscription when another one terminates, whose connection has just closed.
 struct UnsubscribingHandler final : core::SubscriptionHandler, node::ServersHandler {
     core::Core* core = nullptr;
