--- a/src/node/line_connection.cpp
+++ b/src/node/line_connection.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr std::size_t kMaxDiscardedBytesPerTurn = 32 * 1024;  // by a lingering close
-constexpr std::size_t kMaxReadAvailableWork = 512 * 1024;     // some 900 messages
+constexpr std::size_t kMaxReadAvailableWork = 160 * 1024;     // some 250 messages
 constexpr std::size_t kReadBytes = 8 * 1024;                  // at once
-constexpr std::size_t kMaxReadAhead = 1024 * 1024;
+constexpr std::size_t kMaxReadAhead = 4 * 1024 * 1024;  // as much as a peer's kernel usually holds unsent
 constexpr Micros kLineTimeoutRecheck = 10'000;
 
 }  // namespace
@@ -233,13 +233,14 @@
         buffers_.bytes() < buffers_.maxBytes() / 4 ? kMaxReadAhead : limits_.maxLineBytes + kReadBytes;
     std::array<char, kReadBytes> buffer;
     mayHaveUnread_ = false;
-    while (!end_ && !mayHaveUnread_) {
+    while (!end_) {
+        mayHaveUnread_ = input_.size() - lineStart_ >= limit;
+        if (mayHaveUnread_) return;
         const net::IoResult result = stream_->read(buffer);
         if (result.status == net::IoResult::Status::WouldBlock) return;
         if (result.status == net::IoResult::Status::Ready) {
             lastReceivedAt_ = net_.now();
             input_.append(buffer.data(), result.bytes);
-            mayHaveUnread_ = input_.size() - lineStart_ >= limit;
         } else {
             end_ = result.status == net::IoResult::Status::Broken ? DisconnectReason::Reset
                                                                   : DisconnectReason::Closed;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -75,7 +75,7 @@
 // The parts of the process's memory that viewers can fill: buffers of their connections, and set-ups that
 // wait for their answer. Media servers are trusted with less: what is sent to them waits as a set-up until it
 // can leave.
-constexpr std::size_t kViewerMemoryParts = 4, kServerMemoryParts = 16;
+constexpr std::size_t kViewerMemoryParts = 4, kServerMemoryParts = 8;
 constexpr std::size_t kDefaultMemoryMb = 64;
 
 std::size_t maxMemoryBytes(const Json& configuration, const std::string& file) {
--- a/tests/node_viewers_test.cpp
+++ b/tests/node_viewers_test.cpp
@@ -450,6 +450,25 @@
 
 // ================= viewers that have left =================
 
+// A viewer that sends faster than its input is handled: what is read ahead must not grow without end.
+TEST(NodeViewers, InputOfABusyViewerIsBounded) {
+    VirtualNodeFixture fixture;
+    LateReader busy(fixture.machine(13), fixture.front->endpoint());
+    std::string input;
+    while (input.size() < 20'000'000)
+        input += R"({"verb":"PENDING","tag":"0000000000000063"})"
+                 "\n";
+    busy.send(input);
+    std::size_t most = 0;
+    for (int i = 0; i < 3'000; ++i) {
+        fixture.run(1'000);
+        most = std::max(most, fixture.front->viewersHeldBytes());
+    }
+    EXPECT_GT(most, 2'000'000u);
+    EXPECT_LT(most, 9'000'000u);  // 4 MiB, in a buffer that grows by doubling
+    EXPECT_FALSE(busy.isBroken);
+}
+
 // A paid set-up comes again with its id after its viewer left: it ran twice, or its connection was closed
 // without an answer.
 TEST(NodeViewers, PaidSetupThatComesAgainAfterItsViewerLeftRunsOnce) {
