Second reading: one look-up for a SIP request, HTTP buffers counted after they shrink, no unused result

Found: a SIP request was looked up in the transactions three times; an HTTP connection counted its output buffer before the empty buffer gave its memory back, so a relayed response could count for longer than it was held; closeLeastNeededConnection returned what nobody asked for. Change: these three; what callers see is the same.

--- a/src/frontends/sip/sip_frontend.cpp
+++ b/src/frontends/sip/sip_frontend.cpp
@@ -399,7 +399,9 @@
     }
     const std::string key = sip::Transactions::keyOf(m);
     // A new INVITE passes overload control before any state is created; retransmissions are absorbed below.
-    if (m.method == "INVITE" && m.to.tag.empty() && !transactions_.contains(key)) {
+    const bool isRetransmission = transactions_.contains(key);
+    const bool isNewInvite = m.method == "INVITE" && m.to.tag.empty() && !isRetransmission;
+    if (isNewInvite) {
         ++counts_.invites;
         ++arrivals_;
         const auto priority = m.others.find("resource-priority");
@@ -410,12 +412,11 @@
             return replyStateless(m, route, refusalWithRetry(settings_.retryAfterWhenFull));
         }
     }
-    if (!transactions_.contains(key)) {
+    if (!isRetransmission)
         if (const auto answer = answerWithoutState(m)) return replyStateless(m, route, *answer);
-        if (m.method == "INVITE" && m.to.tag.empty()) {
-            if (const auto refusal = onInvite(m, route)) replyStateless(m, route, *refusal);
-            return;
-        }
+    if (isNewInvite) {
+        if (const auto refusal = onInvite(m, route)) replyStateless(m, route, *refusal);
+        return;
     }
     switch (transactions_.request(m, route)) {
         case sip::Transactions::RequestDisposition::Absorbed:
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -199,8 +199,8 @@
                 requestStarted_ = true;
                 timeout_.after(server_.limits_.headTimeout);
             }
-            if (!parser_->isHeadDone()) replaceControlCharacters();
             const bool isHead = !parser_->isHeadDone();
+            if (isHead) replaceControlCharacters();
             const Parser::FeedResult result = parser_->feed(in_);
             in_.erase(0, result.used);
             if (isHead) headBytes_ += result.used;
@@ -275,7 +275,6 @@
             if (written.status == net::IoResult::Status::WouldBlock) break;
         }
         const bool progress = unsent() < before;
-        updateBuffered();
         if (unsent() == 0) {
             out_.clear();
             if (out_.capacity() > kKeptBytes) out_.shrink_to_fit();
@@ -284,6 +283,7 @@
             out_.erase(0, sent_);
             sent_ = 0;
         }
+        updateBuffered();
         if (unsent() > 0 && (progress || !timeout_.isSet())) timeout_.after(server_.limits_.stallTimeout);
         if (unsent() == 0 && (state_ == State::Pending || state_ == State::Sending)) timeout_.cancel();
         if (state_ == State::Sending && exchangeHandler_ && progress &&
--- a/src/node/expiring_map.hpp
+++ b/src/node/expiring_map.hpp
@@ -4,7 +4,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 #include <utility>
 
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -277,8 +277,8 @@
 
 // Closes a connection that carries nothing now: best a suspect one, else one that its server can do without,
 // else the one that has been open the longest. A playing subscription needs no connection of its own: its
-// media server reports what is due on the next one that opens (probe()). Returns false if none can be closed.
-bool Servers::closeLeastNeededConnection() {
+// media server reports what is due on the next one that opens (probe()). Does nothing if none can be closed.
+void Servers::closeLeastNeededConnection() {
     const Micros now = net_.now();
     const auto isSpare = [](const Connection& connection) {
         const Server& server = *connection.server;
@@ -299,9 +299,7 @@
                 continue;
             if (!least || rank(*connection) > rank(*least)) least = connection.get();
         }
-    if (!least) return false;
-    closeConnection(*least);
-    return true;
+    if (least) closeConnection(*least);
 }
 
 // Returns the best of the usable connections, else a new one; null if there are too many.
--- a/src/node/servers.hpp
+++ b/src/node/servers.hpp
@@ -119,7 +119,7 @@
     template <class IsUsable>
     Connection* connectionFor(Server&, IsUsable&&);
     Connection* openConnection(Server&);
-    bool closeLeastNeededConnection();
+    void closeLeastNeededConnection();
     bool hasUndeliveredEnd(const Connection&) const;
     bool isAtConnectionLimit() const { return openConnections_ >= limits_.maxConnections; }
     bool hasLiveConnection(const Server&) const;
