--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -9,6 +9,7 @@
 #include "fakes/list_server.hpp"
 #include "loop_fixture.hpp"
 #include "settings/kdl.hpp"
+#include "temporary_folder.hpp"
 
 namespace valekeel {
 namespace {
@@ -238,7 +239,7 @@
 
 TEST(FileFollower, ReportsChangesAndKeepsTheLastListOnErrors) {
     Loop loop;
-    const auto folder = std::filesystem::path(testing::TempDir()) / "valekeel-list-test";
+    const auto folder = temporaryFolder("list-test");
     std::filesystem::create_directories(folder);
     const std::string path = (folder / "boxes.kdl").string();
     std::filesystem::remove(path);
--- a/tests/experiment_test.cpp
+++ b/tests/experiment_test.cpp
@@ -14,6 +14,7 @@
 #include "net/virtual.hpp"
 #include "simulation/drill.hpp"
 #include "simulation/scenario.hpp"
+#include "temporary_folder.hpp"
 
 namespace valekeel {
 namespace {
@@ -22,8 +23,7 @@
 
 fs::path folder() {
     const fs::path out =
-        fs::path(testing::TempDir()) /
-        ("valekeel-exp-" + std::string(testing::UnitTest::GetInstance()->current_test_info()->name()));
+        temporaryFolder("exp-" + std::string(testing::UnitTest::GetInstance()->current_test_info()->name()));
     fs::remove_all(out);
     fs::create_directories(out);
     return out;
--- a/tests/flood_test.cpp
+++ b/tests/flood_test.cpp
@@ -17,6 +17,7 @@
 
 #include "net/process.hpp"
 #include "node_fixture.hpp"
+#include "temporary_folder.hpp"
 
 namespace valekeel {
 namespace {
@@ -89,7 +90,7 @@
 
 fs::path makeFolder() {
     const auto* test = testing::UnitTest::GetInstance()->current_test_info();
-    const fs::path folder = fs::path(testing::TempDir()) / ("valekeel-flood-" + std::string(test->name()));
+    const fs::path folder = temporaryFolder("flood-" + std::string(test->name()));
     fs::remove_all(folder);
     fs::create_directories(folder);
     return folder;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -18,6 +18,7 @@
 #include "fakes/player.hpp"
 #include "loop_fixture.hpp"
 #include "simulation/drill.hpp"
+#include "temporary_folder.hpp"
 
 namespace valekeel {
 namespace {
@@ -48,9 +49,8 @@
     fakes::ListServer list{net, any(), ledger};
     std::unique_ptr<front::Front> front;
     std::vector<std::unique_ptr<fakes::Player>> players;
-    fs::path folder =
-        fs::path(testing::TempDir()) /
-        ("valekeel-front-" + std::string(testing::UnitTest::GetInstance()->current_test_info()->name()));
+    fs::path folder = temporaryFolder(
+        "front-" + std::string(testing::UnitTest::GetInstance()->current_test_info()->name()));
     int active = 0;
     std::uint64_t epoch = 1;
     std::string site = kSite;
@@ -1234,7 +1234,7 @@
 simulation::DrillResult runScenario(const std::string& name, fakes::Ledger& ledger) {
     const auto document = settings::Document::fromFile(std::string(VALEKEEL_DAYS) + "/" + name);
     const simulation::Scenario scenario = simulation::readScenario(document);
-    const fs::path folder = fs::path(testing::TempDir()) / ("valekeel-day-" + name);
+    const fs::path folder = temporaryFolder("day-" + name);
     fs::remove_all(folder);
     fs::create_directories(folder);
     simulation::DrillOptions options;
@@ -1244,7 +1244,7 @@
 }
 
 TEST(Experiment, RunsOnlyMissingCasesAndReportsAll) {
-    const fs::path folder = fs::path(testing::TempDir()) / "valekeel-experiment-test";
+    const fs::path folder = temporaryFolder("experiment-test");
     fs::remove_all(folder);
     fs::create_directories(folder);
     fs::copy_file(fs::path(VALEKEEL_DAYS) / "crowd.kdl", folder / "crowd.kdl");
